--- /dev/null
+++ b/packages/base/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/config/fleet_config.cc
@@ -0,0 +1,74 @@
+#include "config/fleet_config.h"
+
+#include <algorithm>
+
+namespace vanillafall {
+namespace {
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+// A prefix ends at a path segment: "/jobs" matches "/jobs/7" but not "/jobsx".
+bool HasPathPrefix(std::string_view path, std::string_view prefix) {
+  if (!path.starts_with(prefix)) {
+    return false;
+  }
+  return path.size() == prefix.size() || prefix.ends_with('/') ||
+         path[prefix.size()] == '/';
+}
+
+}  // namespace
+
+bool Route::IsIdempotent(std::string_view method) const {
+  return std::find(non_idempotent_methods.begin(), non_idempotent_methods.end(),
+                   method) == non_idempotent_methods.end();
+}
+
+bool ServiceConfig::Admits(std::string_view tenant) const {
+  return std::any_of(callers.begin(), callers.end(),
+                     [tenant](const std::string& caller) {
+                       return caller == "*" || caller == tenant;
+                     });
+}
+
+const BackendServer* ServiceConfig::FindBackendServer(
+    std::string_view server) const {
+  const auto found = std::find_if(
+      backend_servers.begin(), backend_servers.end(),
+      [server](const BackendServer& each) { return each.name == server; });
+  return found == backend_servers.end() ? nullptr : &*found;
+}
+
+std::vector<PeerAddress> ServiceConfig::Owners() const {
+  std::vector<PeerAddress> owners;
+  owners.reserve(backend_servers.size());
+  for (const BackendServer& server : backend_servers) {
+    owners.push_back(server.owner);
+  }
+  std::sort(owners.begin(), owners.end());
+  owners.erase(std::unique(owners.begin(), owners.end()), owners.end());
+  return owners;
+}
+
+FleetConfig::Match FleetConfig::FindRoute(std::string_view target) const {
+  const std::string_view path = PathOf(target);
+  Match best;
+  for (const auto& [name, service] : services) {
+    for (const Route& route : service.routes) {
+      const bool is_longer = best.route == nullptr ||
+                             route.prefix.size() > best.route->prefix.size();
+      if (is_longer && HasPathPrefix(path, route.prefix)) {
+        best = {&service, &route};
+      }
+    }
+  }
+  return best;
+}
+
+const ServiceConfig* FleetConfig::FindService(std::string_view name) const {
+  const auto found = services.find(name);
+  return found == services.end() ? nullptr : &found->second;
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/config/settings.cc
@@ -0,0 +1,91 @@
+#include "config/settings.h"
+
+#include "config/toml_reader.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using Need = TomlReader::Need;
+
+constexpr std::int64_t kKilobyte = 1024;
+constexpr std::int64_t kMegabyte = 1024 * kKilobyte;
+constexpr milliseconds kLeastTimeout{100};
+constexpr milliseconds kMostTimeout{600'000};
+
+// Where a daemon's own ports are set.
+void ReadPorts(TomlReader& root, Settings* settings) {
+  settings->caller_address = root.GetAddress("caller_address", Need::kRequired);
+  settings->peer_address = root.GetAddress("peer_address", Need::kRequired);
+  settings->operator_address =
+      root.GetAddress("operator_address", Need::kOptional);
+  if (settings->operator_address.empty()) {
+    settings->operator_address = "127.0.0.1:7300";
+  }
+}
+
+void ReadLog(const toml::table& table,
+             const std::string& file,
+             Settings* settings,
+             std::vector<Problem>* problems) {
+  TomlReader log(table, "log", file, problems);
+  settings->log_format =
+      static_cast<LogFormat>(log.GetChoice("format", {"text", "json"}));
+  settings->log_level = static_cast<LogLevel>(
+      log.GetChoice("level", {"info", "warning", "error"}));
+  log.RefuseUnknownKeys();
+}
+
+void ReadSizes(TomlReader& reader, Limits* limits) {
+  const auto read = [&reader](const char* key, std::uint32_t* value,
+                              std::int64_t least, std::int64_t most) {
+    *value =
+        static_cast<std::uint32_t>(reader.GetInteger(key, *value, least, most));
+  };
+  read("max_header_bytes", &limits->max_header_bytes, kKilobyte, kMegabyte);
+  read("max_body_bytes", &limits->max_body_bytes, 0, 64 * kMegabyte);
+  read("max_answer_bytes", &limits->max_answer_bytes, 0, 64 * kMegabyte);
+  read("max_connections", &limits->max_connections, 1, 100'000);
+  read("max_requests", &limits->max_requests, 1, 100'000);
+  read("max_waiting_per_backend_server",
+       &limits->max_waiting_per_backend_server, 0, 10'000);
+  read("max_keys", &limits->max_keys, 100, 10'000'000);
+  read("max_tenants_measured", &limits->max_tenants_measured, 1, 100'000);
+}
+
+void ReadTimes(TomlReader& reader, Limits* limits) {
+  const auto read = [&reader](const char* key, milliseconds* value) {
+    *value = reader.GetDuration(key, *value, kLeastTimeout, kMostTimeout);
+  };
+  read("send_timeout", &limits->send_timeout);
+  read("request_timeout", &limits->request_timeout);
+  read("drain_timeout", &limits->drain_timeout);
+}
+
+}  // namespace
+
+Parsed<Settings> ParseSettings(std::string_view text, const std::string& file) {
+  Parsed<Settings> parsed;
+  const toml::table table = ParseToml(text, file, &parsed.problems);
+  if (!parsed.ok()) {
+    return parsed;
+  }
+  Settings& settings = parsed.value;
+  TomlReader root(table, "", file, &parsed.problems);
+  settings.instance = root.GetString("instance", Need::kRequired);
+  settings.data_centre = root.GetString("data_centre", Need::kRequired);
+  settings.region = root.GetString("region", Need::kRequired);
+  ReadPorts(root, &settings);
+  settings.platform_address =
+      root.GetAddress("platform_address", Need::kOptional);
+  settings.seeds = root.GetAddresses("seeds");
+  ReadLog(root.GetTable("log"), file, &settings, &parsed.problems);
+  TomlReader limits(root.GetTable("limits"), "limits", file, &parsed.problems);
+  ReadSizes(limits, &settings.limits);
+  ReadTimes(limits, &settings.limits);
+  limits.RefuseUnknownKeys();
+  root.RefuseUnknownKeys();
+  return parsed;
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/daemon/control_thread.h
@@ -0,0 +1,66 @@
+#ifndef DAEMON_CONTROL_THREAD_H_
+#define DAEMON_CONTROL_THREAD_H_
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "base/bounded_ring.h"
+#include "base/clock.h"
+#include "control/config_keeper.h"
+#include "transport/wake_fd.h"
+
+namespace vanillafall {
+
+// The thread that runs the config keeper.
+class ControlThread {
+ public:
+  // Carries out what the keeper has decided. Called on the control thread.
+  class Carrier {
+   public:
+    virtual ~Carrier() = default;
+    virtual void CarryControl(ControlAction action) = 0;
+    virtual void ReplyControl(PeerCallId call, PeerReply reply) = 0;
+  };
+
+  ControlThread(ConfigKeeper::Identity identity,
+                const Clock& clock,
+                Carrier& carrier);
+  ~ControlThread();
+  ControlThread(const ControlThread&) = delete;
+  ControlThread& operator=(const ControlThread&) = delete;
+
+  void Start();
+  void Stop();
+
+  struct PlatformAnswer {
+    std::string name;
+    std::optional<PlatformValue> value;
+    bool is_reached = false;
+  };
+  using Message = std::variant<PlatformAnswer, PeerAsked, PeerReplied>;
+
+  // False when the ring is full; the message is then lost, and the keeper
+  // recovers by its own timeouts.
+  bool Push(Message message);
+
+ private:
+  void Run();
+  void Handle(const Message& message, TimePoint now, ControlActions& actions);
+  void OnAsked(const PeerAsked& asked, TimePoint now, ControlActions& actions);
+  void CarryAll(ControlActions& actions);
+
+  const Clock& clock_;
+  Carrier& carrier_;
+  ConfigKeeper keeper_;
+  BoundedRing<Message> ring_;
+  WakeFd wake_;
+  std::atomic<bool> is_stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace vanillafall
+
+#endif  // DAEMON_CONTROL_THREAD_H_
--- /dev/null
+++ b/packages/daemon/event_history.h
@@ -0,0 +1,40 @@
+#ifndef DAEMON_EVENT_HISTORY_H_
+#define DAEMON_EVENT_HISTORY_H_
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+
+namespace vanillafall {
+
+// The latest log events of this daemon. Safe for use by any thread.
+class EventHistory {
+ public:
+  struct Entry {
+    WallTime time;
+    LogEvent event;
+  };
+
+  explicit EventHistory(const Clock& clock);
+  EventHistory(const EventHistory&) = delete;
+  EventHistory& operator=(const EventHistory&) = delete;
+
+  // Keeps the event and writes it to the log.
+  void Add(const LogEvent& event);
+  std::vector<Entry> GetEntries() const;
+
+ private:
+  static constexpr std::size_t kMostEntries = 256;
+
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  std::deque<Entry> entries_;
+};
+
+}  // namespace vanillafall
+
+#endif  // DAEMON_EVENT_HISTORY_H_
--- /dev/null
+++ b/packages/daemon/metrics.cc
@@ -0,0 +1,197 @@
+#include "daemon/metrics.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <map>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <tuple>
+
+namespace vanillafall {
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr unsigned kLatencyBins = 24;
+constexpr double kLeastLatencySeconds = 0.0001;
+constexpr double kMostLatencySeconds = 100.0;
+constexpr char kOtherTenant[] = "other";
+
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram = decltype(bh::make_histogram(
+    LatencyAxis(kLatencyBins, kLeastLatencySeconds, kMostLatencySeconds)));
+
+struct SeriesKey {
+  std::string service;
+  std::string request_class;
+  std::string tenant;
+
+  friend bool operator<(const SeriesKey& a, const SeriesKey& b) {
+    return std::tie(a.service, a.request_class, a.tenant) <
+           std::tie(b.service, b.request_class, b.tenant);
+  }
+};
+
+struct Series {
+  LatencyHistogram latency = bh::make_histogram(
+      LatencyAxis(kLatencyBins, kLeastLatencySeconds, kMostLatencySeconds));
+  double sum_seconds = 0;
+  std::uint64_t count = 0;
+};
+
+struct AnswerKey {
+  std::string service;
+  Outcome outcome = Outcome::kDone;
+  Reason reason = Reason::kOk;
+
+  friend bool operator<(const AnswerKey& a, const AnswerKey& b) {
+    return std::tie(a.service, a.outcome, a.reason) <
+           std::tie(b.service, b.outcome, b.reason);
+  }
+};
+
+// Escapes a label value; tenants choose theirs.
+std::string Escape(const std::string& value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') {
+      escaped += '\\';
+      escaped += c;
+    } else if (c == '\n') {
+      escaped += "\\n";
+    } else {
+      escaped += c;
+    }
+  }
+  return escaped;
+}
+
+std::string LabelsOf(const SeriesKey& key) {
+  return "service=\"" + Escape(key.service) + "\",class=\"" +
+         Escape(key.request_class) + "\",tenant=\"" + Escape(key.tenant) + "\"";
+}
+
+void RenderSeries(const SeriesKey& key,
+                  const Series& series,
+                  std::ostream& out) {
+  const std::string labels = LabelsOf(key);
+  const auto& axis = series.latency.axis(0);
+  constexpr int kUnderflow = -1;
+  auto total = static_cast<std::uint64_t>(series.latency.at(kUnderflow));
+  for (int bin = 0; bin < axis.size(); ++bin) {
+    total += static_cast<std::uint64_t>(series.latency.at(bin));
+    out << "vanillafall_request_seconds_bucket{" << labels << ",le=\""
+        << axis.bin(bin).upper() << "\"} " << total << "\n";
+  }
+  out << "vanillafall_request_seconds_bucket{" << labels << ",le=\"+Inf\"} "
+      << series.count << "\n"
+      << "vanillafall_request_seconds_sum{" << labels << "} "
+      << series.sum_seconds << "\n"
+      << "vanillafall_request_seconds_count{" << labels << "} " << series.count
+      << "\n";
+}
+
+void RenderValue(const char* name,
+                 const char* type,
+                 std::uint64_t value,
+                 std::ostream& out) {
+  out << "# TYPE " << name << " " << type << "\n"
+      << name << " " << value << "\n";
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  explicit Impl(std::size_t max_tenants) : max_tenants_(max_tenants) {}
+
+  void CountAnswer(const Labels& labels,
+                   Outcome outcome,
+                   Reason reason,
+                   std::chrono::microseconds latency) {
+    const std::lock_guard lock(mutex_);
+    ++answers_[{labels.service, outcome, reason}];
+    if (labels.service.empty()) {
+      return;
+    }
+    Series& series = series_[{labels.service, labels.request_class,
+                              TenantLabel(labels.tenant)}];
+    const double seconds = std::chrono::duration<double>(latency).count();
+    series.latency(seconds);
+    series.sum_seconds += seconds;
+    ++series.count;
+  }
+
+  void CountRefusal(Reason reason) {
+    const std::lock_guard lock(mutex_);
+    ++answers_[{"", Outcome::kNotRun, reason}];
+  }
+
+  std::string Render(const Gauges& gauges) const {
+    const std::lock_guard lock(mutex_);
+    std::ostringstream out;
+    out << "# TYPE vanillafall_answers_total counter\n";
+    for (const auto& [key, count] : answers_) {
+      out << "vanillafall_answers_total{service=\"" << Escape(key.service)
+          << "\",outcome=\"" << ToString(key.outcome) << "\",reason=\""
+          << ToString(key.reason) << "\"} " << count << "\n";
+    }
+    out << "# TYPE vanillafall_request_seconds histogram\n";
+    for (const auto& [key, series] : series_) {
+      RenderSeries(key, series, out);
+    }
+    RenderValue("vanillafall_manifest_number", "gauge", gauges.manifest_number,
+                out);
+    RenderValue("vanillafall_keys", "gauge", gauges.keys, out);
+    RenderValue("vanillafall_unfinished_requests", "gauge", gauges.unfinished,
+                out);
+    RenderValue("vanillafall_control_messages_total", "counter",
+                gauges.control_messages, out);
+    RenderValue("vanillafall_control_bytes_total", "counter",
+                gauges.control_bytes, out);
+    RenderValue("vanillafall_platform_calls_total", "counter",
+                gauges.platform_calls, out);
+    return out.str();
+  }
+
+ private:
+  std::string TenantLabel(const std::string& tenant) {
+    if (tenants_.contains(tenant)) {
+      return tenant;
+    }
+    if (tenants_.size() >= max_tenants_) {
+      return kOtherTenant;
+    }
+    tenants_.insert(tenant);
+    return tenant;
+  }
+
+  const std::size_t max_tenants_;
+  mutable std::mutex mutex_;
+  std::set<std::string> tenants_;
+  std::map<SeriesKey, Series> series_;
+  std::map<AnswerKey, std::uint64_t> answers_;
+};
+
+Metrics::Metrics(std::size_t max_tenants)
+    : impl_(std::make_unique<Impl>(max_tenants)) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountAnswer(const Labels& labels,
+                          Outcome outcome,
+                          Reason reason,
+                          std::chrono::microseconds latency) {
+  impl_->CountAnswer(labels, outcome, reason, latency);
+}
+
+void Metrics::CountRefusal(Reason reason) {
+  impl_->CountRefusal(reason);
+}
+
+std::string Metrics::Render(const Gauges& gauges) const {
+  return impl_->Render(gauges);
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/daemon/operator_server.h
@@ -0,0 +1,48 @@
+#ifndef DAEMON_OPERATOR_SERVER_H_
+#define DAEMON_OPERATOR_SERVER_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+
+namespace vanillafall {
+
+// The operators' port: GET asks, POST commands, on a thread of its own.
+class OperatorServer {
+ public:
+  struct Page {
+    int status = 404;
+    std::string content_type = "text/plain; charset=utf-8";
+    std::string body;
+  };
+
+  // Called on the operators' thread.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // Answers a question; the path is such as "/status".
+    virtual Page OnOperatorQuery(const std::string& path,
+                                 const std::string& subject) = 0;
+    // Carries out a command.
+    virtual Page OnOperatorCommand(const std::string& path,
+                                   const std::string& subject) = 0;
+  };
+
+  OperatorServer(std::string address, Listener& listener);
+  ~OperatorServer();
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
+
+  std::optional<Error> Start();
+  void Stop();
+
+ private:
+  class Impl;
+  const std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace vanillafall
+
+#endif  // DAEMON_OPERATOR_SERVER_H_
--- /dev/null
+++ b/packages/daemon/vanillafalld_main.cc
@@ -0,0 +1,170 @@
+#include <curl/curl.h>
+#include <tclap/CmdLine.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "daemon/daemon.h"
+#include "daemon/log.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Exit codes, as docs/OPERATING.md lists them.
+enum ExitCode : int {
+  kExitOk = 0,
+  kExitUsage = 1,
+  kExitBadSettings = 2,
+  kExitCannotStart = 3,
+  kExitCutRequests = 4,
+};
+
+constexpr milliseconds kSignalPeriod{50};
+
+struct Arguments {
+  std::string settings_file;
+  bool check_only = false;
+};
+
+Arguments ParseArguments(int argc, const char* const* argv) {
+  TCLAP::CmdLine line(
+      "vanillafalld, the daemon of the vanillafall proxy fleet. Exit codes: 0 "
+      "stopped after a drain, 1 wrong usage, 2 wrong settings, 3 cannot "
+      "start, 4 the drain timed out and requests were cut.",
+      ' ', VF_VERSION);
+  TCLAP::SwitchArg check("", "check-settings",
+                         "check the settings file and exit", line);
+  TCLAP::UnlabeledValueArg<std::string> file("settings", "TOML settings file",
+                                             true, "", "FILE", line);
+  line.parse(argc, argv);
+  return {file.getValue(), check.getValue()};
+}
+
+// Reads the file; a problem without a line stands for a file that can't be
+// read.
+Parsed<Settings> LoadSettings(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) {
+    Parsed<Settings> parsed;
+    parsed.problems.push_back(
+        {file, 0, "(file)", "nothing that can be read", "a readable file"});
+    return parsed;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseSettings(text.str(), file);
+}
+
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+// The next signal within the time, or 0.
+int WaitForSignal(const sigset_t& signals, milliseconds time) {
+  const timespec wait{time.count() / 1000, (time.count() % 1000) * 1'000'000};
+  const int signal = sigtimedwait(&signals, nullptr, &wait);
+  return signal < 0 ? 0 : signal;
+}
+
+void ReportSignal(int signal, bool is_draining, Daemon& daemon) {
+  if (signal == SIGHUP) {
+    daemon.Report({LogEventId::kReloadIgnored, "SIGHUP",
+                   "settings are read at start only"});
+  } else if (is_draining && signal != 0) {
+    daemon.Report({LogEventId::kDaemonDrainAlreadyRunning, "", ""});
+  }
+}
+
+void RunUntilSignal(const sigset_t& signals, Daemon& daemon) {
+  constexpr milliseconds kIdleWait{1000};
+  while (true) {
+    const int signal = WaitForSignal(signals, kIdleWait);
+    ReportSignal(signal, false, daemon);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return;
+    }
+  }
+}
+
+// Waits until every request is answered; false when time ran out first.
+bool Drain(const sigset_t& signals,
+           milliseconds timeout,
+           const Clock& clock,
+           Daemon& daemon) {
+  daemon.Report({LogEventId::kDaemonDrainStarted, "", ""});
+  daemon.BeginDrain();
+  const TimePoint until = clock.now() + timeout;
+  while (clock.now() < until) {
+    if (daemon.IsDrained()) {
+      return true;
+    }
+    ReportSignal(WaitForSignal(signals, kSignalPeriod), true, daemon);
+  }
+  return false;
+}
+
+int Serve(const Settings& settings, const sigset_t& signals) {
+  const SystemClock clock;
+  Daemon daemon(settings, clock);
+  if (const std::optional<Error> error = daemon.Start()) {
+    daemon.Report(
+        {LogEventId::kDaemonCannotStart, settings.instance, error->Describe()});
+    return kExitCannotStart;
+  }
+  RunUntilSignal(signals, daemon);
+  const bool is_drained =
+      Drain(signals, settings.limits.drain_timeout, clock, daemon);
+  daemon.Stop();
+  daemon.Report({LogEventId::kDaemonStopped, settings.instance,
+                 is_drained ? "drained" : "drain timed out"});
+  return is_drained ? kExitOk : kExitCutRequests;
+}
+
+int Main(int argc, const char* const* argv) {
+  Arguments arguments;
+  try {
+    arguments = ParseArguments(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "vanillafalld: " << error.error() << " " << error.argId()
+              << "\n";
+    return kExitUsage;
+  }
+  const Parsed<Settings> settings = LoadSettings(arguments.settings_file);
+  for (const Problem& problem : settings.problems) {
+    std::cerr << problem.Describe() << "\n";
+  }
+  if (!settings.ok()) {
+    return kExitBadSettings;
+  }
+  if (arguments.check_only) {
+    std::cout << arguments.settings_file << ": settings are right\n";
+    return kExitOk;
+  }
+  const sigset_t signals = BlockSignals();
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  StartLog(settings.value.log_format, settings.value.log_level,
+           settings.value.instance);
+  const int code = Serve(settings.value, signals);
+  StopLog();
+  curl_global_cleanup();
+  return code;
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  return vanillafall::Main(argc, argv);
+}
--- /dev/null
+++ b/packages/decision/decision.h
@@ -0,0 +1,24 @@
+// Module decision: every decision of a daemon as plain computation. Events and
+// a time point go in, typed actions come out; nothing here opens a socket,
+// starts a thread, reads a clock or draws from a random device. It rests on
+// config. One thread owns an Engine; no class here is safe for use by two
+// threads at once.
+//
+//   event.h            what goes in and what comes out
+//   engine.h           one daemon's decisions as a whole
+//   entry.h            requests of callers: choice of backend server, retries
+//   owner.h            backend servers of this instance: admission, execution
+//   router.h           which backend server an entry prefers
+//   retry_budget.h     how many retries are allowed
+//   admission.h        slots and the fair, bounded wait for them
+//   execution_guard.h  grants for keys of non-idempotent work
+//   vote_round.h       one owner's request for such a grant
+//   service_health.h   detection and ejection of sick backend servers
+//   crash_guard.h      requests that crash whoever runs them
+
+#ifndef DECISION_DECISION_H_
+#define DECISION_DECISION_H_
+
+#include "decision/engine.h"
+
+#endif  // DECISION_DECISION_H_
--- /dev/null
+++ b/packages/decision/engine.h
@@ -0,0 +1,79 @@
+#ifndef DECISION_ENGINE_H_
+#define DECISION_ENGINE_H_
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <unordered_set>
+
+#include "config/settings.h"
+#include "decision/entry.h"
+#include "decision/event.h"
+#include "decision/execution_guard.h"
+#include "decision/owner.h"
+#include "decision/peer_caller.h"
+
+namespace vanillafall {
+
+// All decisions of one daemon. Feed it every event with the time at which it
+// is handled; carry out the actions in order.
+class Engine final : private PeerCaller {
+ public:
+  struct Identity {
+    PeerAddress self;
+    std::string data_centre;
+    // Drawn anew by each process.
+    std::uint64_t incarnation = 0;
+    std::uint64_t seed = 0;
+  };
+
+  Engine(const Identity& identity, const Limits& limits, TimePoint started);
+  ~Engine() override = default;
+  Engine(const Engine&) = delete;
+  Engine& operator=(const Engine&) = delete;
+
+  // Handles one event and appends what must be done.
+  void Handle(const Event& event, TimePoint now, Actions& actions);
+
+  // Queries.
+  std::uint64_t manifest_number() const;
+  const FleetConfigPtr& config() const { return config_; }
+  std::vector<BackendServerStatus> GetStatus(TimePoint now) const;
+  // Requests of callers and peers that are not yet answered.
+  std::size_t unfinished_count() const;
+  std::size_t key_count() const { return guard_.key_count(); }
+
+ private:
+  PeerCallId Ask(const PeerAddress& peer,
+                 PeerRequest request,
+                 std::chrono::milliseconds timeout,
+                 Actions& actions) override;
+  void Reply(PeerCallId call, PeerReply reply, Actions& actions) override;
+
+  void Dispatch(const Event& event, TimePoint now, Actions& actions);
+  void OnPeerAsked(const PeerAsked& asked, TimePoint now, Actions& actions);
+  void OnPeerReplied(const PeerReplied& replied,
+                     TimePoint now,
+                     Actions& actions);
+  void OnConfigChanged(const FleetConfigPtr& config,
+                       TimePoint now,
+                       Actions& actions);
+  VoteReply OnVote(const VoteRequest& request, TimePoint now);
+  void OnSettle(const SettleNotice& notice, TimePoint now);
+
+  const PeerAddress self_;
+  std::mt19937_64 random_;
+  PeerCallId last_call_ = 0;
+  FleetConfigPtr config_;
+  // Events of this daemon to itself, handled before Handle returns.
+  std::deque<Event> loopback_;
+  std::unordered_set<PeerCallId> loopback_calls_;
+  ExecutionGuard guard_;
+  Owner owner_;
+  Entry entry_;
+};
+
+}  // namespace vanillafall
+
+#endif  // DECISION_ENGINE_H_
--- /dev/null
+++ b/packages/decision/idempotency_key.h
@@ -0,0 +1,15 @@
+#ifndef DECISION_IDEMPOTENCY_KEY_H_
+#define DECISION_IDEMPOTENCY_KEY_H_
+
+#include <chrono>
+#include <string_view>
+
+namespace vanillafall {
+
+// Time that a key carries when it is a UUID of version 7, since the Unix epoch;
+// 0 for every other key.
+std::chrono::milliseconds TimeOfKey(std::string_view key);
+
+}  // namespace vanillafall
+
+#endif  // DECISION_IDEMPOTENCY_KEY_H_
--- /dev/null
+++ b/packages/decision/owner.cc
@@ -0,0 +1,459 @@
+#include "decision/owner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLeaseTimeout{500};
+constexpr milliseconds kCrashNoticeTimeout{1000};
+// Connections that break within this time belong to the same crash.
+constexpr milliseconds kSameCrash{200};
+constexpr int kServerErrorStatus = 500;
+// An answer header by which a backend server says that it is leaving.
+constexpr char kStateHeader[] = "Vanillafall-State";
+constexpr char kDrainingState[] = "draining";
+
+std::string ServerId(std::string_view service, std::string_view server) {
+  return std::string(service) + "/" + std::string(server);
+}
+
+RunReply RefusalWith(Reason reason) {
+  RunReply reply;
+  reply.outcome = Outcome::kNotRun;
+  reply.reason = reason;
+  return reply;
+}
+
+// A server error is a whole answer, but no proof of what the server did before
+// it gave up.
+RunReply ReplyToAnswer(const HttpResponse& response) {
+  RunReply reply;
+  const bool is_error = response.status >= kServerErrorStatus;
+  reply.outcome = is_error ? Outcome::kUnknown : Outcome::kDone;
+  reply.reason = is_error ? Reason::kBackendServerShed : Reason::kOk;
+  reply.response = response;
+  return reply;
+}
+
+RunReply ReplyToEnd(const BackendReplied& replied) {
+  RunReply reply;
+  reply.outcome = Outcome::kUnknown;
+  switch (replied.end) {
+    case BackendEnd::kAnswered:
+      return ReplyToAnswer(replied.response);
+    case BackendEnd::kNotConnected:
+      return RefusalWith(Reason::kBackendServerUnreachable);
+    case BackendEnd::kLost:
+      reply.reason = Reason::kBackendServerLost;
+      break;
+    case BackendEnd::kTruncated:
+      reply.reason = Reason::kAnswerTruncated;
+      break;
+    case BackendEnd::kTooLarge:
+      reply.reason = Reason::kAnswerTooLarge;
+      break;
+    case BackendEnd::kTimeout:
+      reply.reason = Reason::kBackendServerTimeout;
+      break;
+    case BackendEnd::kCancelled:
+      reply.reason = Reason::kCancelled;
+      break;
+  }
+  return reply;
+}
+
+bool IsFailure(const BackendReplied& replied) {
+  return replied.end != BackendEnd::kAnswered ||
+         replied.response.status >= kServerErrorStatus;
+}
+
+}  // namespace
+
+Owner::Owner(PeerAddress self,
+             const Limits& limits,
+             std::uint64_t incarnation,
+             PeerCaller& peers)
+    : self_(std::move(self)),
+      limits_(limits),
+      peers_(peers),
+      keyed_(self_, incarnation, limits.max_keys, peers, *this) {}
+
+void Owner::Configure(const FleetConfigPtr& config,
+                      TimePoint now,
+                      Actions& actions) {
+  config_ = config;
+  for (auto& [id, server] : servers_) {
+    server.is_removed = true;
+  }
+  for (const auto& [name, service] : config->services) {
+    for (const BackendServer& each : service.backend_servers) {
+      if (each.owner != self_) {
+        continue;
+      }
+      Server& server = servers_[ServerId(name, each.name)];
+      if (server.admission == nullptr) {
+        server.admission = std::make_unique<Admission>(
+            each.slots, limits_.max_waiting_per_backend_server);
+      }
+      server.config = each;
+      server.service = name;
+      server.is_removed = false;
+      server.admission->SetSlots(each.slots);
+      HealthOf(name).Configure(service, now);
+    }
+  }
+  for (auto& [id, server] : servers_) {
+    if (!server.is_removed) {
+      continue;
+    }
+    for (const Ticket ticket : server.admission->TakeAllWaiting()) {
+      Finish(ticket, RefusalWith(Reason::kNotOwner), now, actions);
+    }
+  }
+  std::erase_if(servers_, [](const auto& entry) {
+    return entry.second.is_removed && entry.second.admission->in_use() == 0;
+  });
+}
+
+void Owner::OnRun(PeerCallId origin,
+                  const RunRequest& run,
+                  TimePoint now,
+                  Actions& actions) {
+  Server* server = FindServer(run);
+  if (server == nullptr || server->is_removed) {
+    Answer(origin, nullptr, RefusalWith(Reason::kNotOwner), now, actions);
+    return;
+  }
+  const Reason refusal = ReasonToRefuse(*server, run, now);
+  if (refusal != Reason::kOk) {
+    Answer(origin, server, RefusalWith(refusal), now, actions);
+    return;
+  }
+  const bool alone = crash_guard_.Check(run.fingerprint, now) ==
+                     CrashGuard::Verdict::kRunAlone;
+  const Ticket ticket = ++last_ticket_;
+  const TimePoint deadline = now + run.time_left;
+  const Admission::Decision decision =
+      server->admission->Offer({ticket, run.tenant, deadline, alone}, now);
+  if (decision.result == Admission::Result::kRefuse) {
+    Answer(origin, server, RefusalWith(decision.reason), now, actions);
+    return;
+  }
+  works_[ticket] = {origin, run, deadline};
+  if (decision.result == Admission::Result::kStart) {
+    Start(ticket, now, actions);
+  }
+}
+
+void Owner::OnBackendReplied(const BackendReplied& replied,
+                             TimePoint now,
+                             Actions& actions) {
+  const Ticket ticket = replied.call;
+  const auto found = works_.find(ticket);
+  if (found == works_.end()) {
+    return;
+  }
+  const Work& work = found->second;
+  Server* server = FindServer(work.run);
+  assert(server != nullptr && "a server lives until its work has ended");
+  RecordSample(work, replied, now);
+  if (replied.end == BackendEnd::kLost) {
+    NoteCrash(*server, now, actions);
+  } else if (replied.end == BackendEnd::kAnswered) {
+    crash_guard_.OnDone(work.run.fingerprint);
+  }
+  const bool is_leaving =
+      FindHeader(replied.response.headers, kStateHeader) == kDrainingState;
+  if (is_leaving && !server->is_draining) {
+    NoteDraining(server->config.name, now, actions);
+  }
+  const RunReply reply = ReplyToEnd(replied);
+  if (work.run.key) {
+    keyed_.End(ticket, reply, now, actions);
+  }
+  Finish(ticket, reply, now, actions);
+}
+
+void Owner::OnPeerReplied(const PeerReplied& replied,
+                          TimePoint now,
+                          Actions& actions) {
+  if (keyed_.OnPeerReply(replied.call, replied.result, now, actions)) {
+    return;
+  }
+  const auto lease = lease_calls_.extract(replied.call);
+  if (lease.empty()) {
+    return;
+  }
+  const auto* peer_reply = std::get_if<PeerReply>(&replied.result);
+  const auto* reply =
+      peer_reply ? std::get_if<LeaseReply>(peer_reply) : nullptr;
+  if (reply != nullptr) {
+    const LeaseCall& call = lease.mapped();
+    HealthOf(call.service).OnReply(call.request, *reply, call.sent, now);
+  }
+}
+
+void Owner::OnDrainChanged(const DrainChanged& change,
+                           TimePoint now,
+                           Actions& actions) {
+  if (change.backend_server.empty()) {
+    is_draining_ = change.is_draining;
+  }
+  for (auto& [id, server] : servers_) {
+    const bool is_meant = change.backend_server.empty() ||
+                          change.backend_server == server.config.name;
+    if (!is_meant) {
+      continue;
+    }
+    server.is_draining = change.is_draining;
+    HealthOf(server.service)
+        .SetDraining(server.config.name, change.is_draining);
+    if (!change.is_draining) {
+      continue;
+    }
+    for (const Ticket ticket : server.admission->TakeAllWaiting()) {
+      Finish(ticket, RefusalWith(Reason::kDraining), now, actions);
+    }
+  }
+}
+
+LeaseReply Owner::OnLease(const LeaseRequest& request, TimePoint now) {
+  return HealthOf(request.service).Answer(request, now);
+}
+
+void Owner::OnCrashNotice(const CrashNotice& notice, TimePoint now) {
+  crash_guard_.OnNotice(notice, now);
+}
+
+RecallReply Owner::OnRecall(const RecallRequest& request) const {
+  return keyed_.Recall(request);
+}
+
+void Owner::Advance(TimePoint now, Actions& actions) {
+  SendLeaseRequests(now, actions);
+  RefreshSlotLimits(now, actions);
+  for (auto& [id, server] : servers_) {
+    for (const Ticket ticket : server.admission->TakeExpired(now)) {
+      Finish(ticket, RefusalWith(Reason::kDeadlinePassed), now, actions);
+    }
+    StartWaiting(server, now, actions);
+  }
+  keyed_.Advance(now, actions);
+  crash_guard_.Expire(now);
+}
+
+std::vector<BackendServerStatus> Owner::GetStatus(TimePoint now) const {
+  std::vector<BackendServerStatus> status;
+  for (const auto& [id, server] : servers_) {
+    status.push_back({server.service, server.config.name, server.config.address,
+                      GetLoad(server, now)});
+  }
+  return status;
+}
+
+void Owner::OnGranted(Ticket ticket, TimePoint now, Actions& actions) {
+  const auto found = works_.find(ticket);
+  const bool has_time = found != works_.end() && now < found->second.deadline;
+  if (has_time) {
+    Call(ticket, now, actions);
+    return;
+  }
+  const RunReply reply = RefusalWith(Reason::kDeadlinePassed);
+  keyed_.End(ticket, reply, now, actions);
+  Finish(ticket, reply, now, actions);
+}
+
+void Owner::OnRefused(Ticket ticket,
+                      const RunReply& reply,
+                      TimePoint now,
+                      Actions& actions) {
+  Finish(ticket, reply, now, actions);
+}
+
+Owner::Server* Owner::FindServer(const RunRequest& run) {
+  const auto found = servers_.find(ServerId(run.service, run.backend_server));
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+Reason Owner::ReasonToRefuse(const Server& server,
+                             const RunRequest& run,
+                             TimePoint now) const {
+  if (server.is_draining || is_draining_) {
+    return Reason::kDraining;
+  }
+  if (GetLoad(server, now).state == ServingState::kEjected) {
+    return Reason::kEjected;
+  }
+  if (crash_guard_.Check(run.fingerprint, now) ==
+      CrashGuard::Verdict::kRefuse) {
+    return Reason::kCrashSuspect;
+  }
+  return Reason::kOk;
+}
+
+void Owner::Start(Ticket ticket, TimePoint now, Actions& actions) {
+  Work& work = works_.at(ticket);
+  work.is_running = true;
+  const ServiceConfig* service = config_->FindService(work.run.service);
+  if (!work.run.key || service == nullptr) {
+    Call(ticket, now, actions);
+    return;
+  }
+  keyed_.Begin(ticket, work.run, *service, actions);
+}
+
+void Owner::Call(Ticket ticket, TimePoint now, Actions& actions) {
+  Work& work = works_.at(ticket);
+  const Server* server = FindServer(work.run);
+  work.called = now;
+  work.is_called = true;
+  CallBackend call;
+  call.call = ticket;
+  call.address = server->config.address;
+  call.request = work.run.request;
+  call.timeout = std::max(milliseconds(1),
+                          duration_cast<milliseconds>(work.deadline - now));
+  std::erase_if(call.request.headers, [](const HttpHeader& header) {
+    return header.name == kTimeLeftHeader;
+  });
+  call.request.headers.push_back(
+      {kTimeLeftHeader, std::to_string(call.timeout.count())});
+  actions.emplace_back(std::move(call));
+}
+
+void Owner::StartWaiting(Server& server, TimePoint now, Actions& actions) {
+  while (const auto ticket = server.admission->TakeNext(now)) {
+    Start(*ticket, now, actions);
+  }
+}
+
+void Owner::Answer(PeerCallId origin,
+                   const Server* server,
+                   RunReply reply,
+                   TimePoint now,
+                   Actions& actions) {
+  if (server != nullptr) {
+    reply.load = GetLoad(*server, now);
+  }
+  peers_.Reply(origin, std::move(reply), actions);
+}
+
+void Owner::Finish(Ticket ticket,
+                   RunReply reply,
+                   TimePoint now,
+                   Actions& actions) {
+  const auto node = works_.extract(ticket);
+  if (node.empty()) {
+    return;
+  }
+  const Work& work = node.mapped();
+  Server* server = FindServer(work.run);
+  if (work.is_running) {
+    server->admission->Release(ticket);
+  }
+  Answer(work.origin, server, std::move(reply), now, actions);
+  StartWaiting(*server, now, actions);
+}
+
+void Owner::RecordSample(const Work& work,
+                         const BackendReplied& replied,
+                         TimePoint now) {
+  if (replied.end == BackendEnd::kCancelled) {
+    return;
+  }
+  const WorkSample sample{work.run.request_class,
+                          duration_cast<microseconds>(now - work.called),
+                          IsFailure(replied)};
+  HealthOf(work.run.service).Record(work.run.backend_server, sample, now);
+}
+
+void Owner::NoteCrash(Server& server, TimePoint now, Actions& actions) {
+  if (server.last_crash != TimePoint() &&
+      now - server.last_crash < kSameCrash) {
+    return;
+  }
+  server.last_crash = now;
+  std::vector<Hash128> in_flight;
+  for (const auto& [ticket, work] : works_) {
+    const bool is_here = work.is_called && work.run.service == server.service &&
+                         work.run.backend_server == server.config.name;
+    if (is_here) {
+      in_flight.push_back(work.run.fingerprint);
+    }
+  }
+  const ServiceConfig* service = config_->FindService(server.service);
+  const std::vector<CrashNotice> notices =
+      crash_guard_.OnCrash(server.service, in_flight, now);
+  for (const CrashNotice& notice : notices) {
+    actions.emplace_back(LogEvent{LogEventId::kCrashSuspected,
+                                  server.service + "/" + server.config.name,
+                                  "request " + notice.fingerprint.ToHex()});
+    if (service == nullptr) {
+      continue;
+    }
+    for (const PeerAddress& peer : service->Owners()) {
+      if (peer != self_) {
+        peers_.Ask(peer, notice, kCrashNoticeTimeout, actions);
+      }
+    }
+  }
+}
+
+void Owner::NoteDraining(const std::string& name,
+                         TimePoint now,
+                         Actions& actions) {
+  actions.emplace_back(LogEvent{LogEventId::kBackendServerDraining, name,
+                                "it said so in an answer"});
+  OnDrainChanged({name, true}, now, actions);
+}
+
+void Owner::RefreshSlotLimits(TimePoint now, Actions& /*actions*/) {
+  for (auto& [id, server] : servers_) {
+    server.admission->SetSlotLimit(
+        HealthOf(server.service).SlotLimitOf(server.config.name, now));
+  }
+}
+
+void Owner::SendLeaseRequests(TimePoint now, Actions& actions) {
+  for (const auto& [name, health] : health_) {
+    for (LeaseAsk& ask : health->Advance(now)) {
+      const PeerCallId call =
+          peers_.Ask(ask.peer, ask.request, kLeaseTimeout, actions);
+      lease_calls_[call] = {name, std::move(ask.request), now};
+    }
+    for (LogEvent& event : health->TakeLogEvents()) {
+      actions.emplace_back(std::move(event));
+    }
+  }
+}
+
+LoadReport Owner::GetLoad(const Server& server, TimePoint now) const {
+  LoadReport load;
+  load.slots = server.admission->slots();
+  load.in_use = server.admission->in_use();
+  load.waiting = server.admission->waiting();
+  const auto health = health_.find(server.service);
+  if (server.is_draining || is_draining_) {
+    load.state = ServingState::kDraining;
+  } else if (health != health_.end()) {
+    load.state = health->second->StateOf(server.config.name, now);
+  }
+  return load;
+}
+
+ServiceHealth& Owner::HealthOf(const std::string& service) {
+  std::unique_ptr<ServiceHealth>& health = health_[service];
+  if (health == nullptr) {
+    health = std::make_unique<ServiceHealth>(self_);
+  }
+  return *health;
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/decision/vote_round.h
@@ -0,0 +1,96 @@
+#ifndef DECISION_VOTE_ROUND_H_
+#define DECISION_VOTE_ROUND_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "config/fleet_config.h"
+#include "message/peer.h"
+
+namespace vanillafall {
+
+// Most guards that one key has.
+inline constexpr std::size_t kGuardsPerKey = 5;
+
+// Grants that make a majority of a group.
+constexpr std::size_t MajorityOf(std::size_t group_size) {
+  return group_size / 2 + 1;
+}
+
+// The guards of a key among a service's owners: the first kGuardsPerKey in
+// rendezvous order.
+std::vector<PeerAddress> GuardsOfKey(const Hash128& key,
+                                     std::vector<PeerAddress> owners);
+
+// What one daemon has heard of the configuration that a service's guards hold.
+// Tells when a former guard set can no longer grant anything, so that it need
+// not be asked.
+class GuardVersions {
+ public:
+  void OnReply(const PeerAddress& guard, const VoteReply& reply);
+
+  // True when a majority of the guards hold a number above the former one for
+  // at least the resend window.
+  bool IsRetired(const std::vector<PeerAddress>& guards,
+                 std::uint64_t former_number,
+                 std::chrono::milliseconds resend_window) const;
+
+ private:
+  struct Held {
+    std::uint64_t number = 0;
+    std::chrono::milliseconds age{0};
+  };
+  std::map<PeerAddress, Held> held_;
+};
+
+// One owner's request for the right to run a key: a majority of the current
+// guard set and of each former set that may still be in use.
+class VoteRound {
+ public:
+  enum class State : std::uint8_t { kPending, kGranted, kLost };
+
+  VoteRound(const VoteRequest& request,
+            const ServiceConfig& service,
+            const GuardVersions& versions);
+
+  const VoteRequest& request() const { return request_; }
+
+  // Every guard to ask, each once.
+  const std::vector<PeerAddress>& guards() const { return guards_; }
+
+  void OnReply(const PeerAddress& guard, const VoteReply& reply);
+  // The guard can't be asked, or its answer was lost.
+  void OnFailure(const PeerAddress& guard);
+
+  State state() const;
+
+  // With kLost: why, and what the caller can be told about the key.
+  Reason reason() const;
+  Outcome outcome() const;
+  // With kLost because another attempt holds the key: its reply, with the
+  // holder and how that attempt ended.
+  const std::optional<VoteReply>& holder() const { return holder_; }
+
+ private:
+  struct Group {
+    std::vector<PeerAddress> guards;
+    std::size_t granted = 0;
+    std::size_t refused = 0;
+  };
+
+  void CountRefusal(const PeerAddress& guard);
+
+  VoteRequest request_;
+  std::vector<Group> groups_;
+  std::vector<PeerAddress> guards_;
+  std::optional<VoteReply> holder_;
+  Reason refusal_ = Reason::kNoQuorum;
+};
+
+}  // namespace vanillafall
+
+#endif  // DECISION_VOTE_ROUND_H_
--- /dev/null
+++ b/packages/operator/bundle.h
@@ -0,0 +1,35 @@
+#ifndef OPERATOR_BUNDLE_H_
+#define OPERATOR_BUNDLE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/fleet_config.h"
+#include "config/problem.h"
+
+namespace vanillafall {
+
+// Documents to publish, by name. Publish the manifest last.
+struct Bundle {
+  Manifest manifest;
+  std::map<std::string, std::string> documents;
+  std::vector<Problem> problems;
+};
+
+// One service file as read from disk.
+struct ServiceFile {
+  std::string file;
+  std::string text;
+};
+
+// Makes the documents of the service files. The previous documents give the
+// numbers: a service whose content is unchanged keeps its document, a changed
+// one gets the next number. A file with problems keeps its service's previous
+// document and stops no other.
+Bundle MakeBundle(const std::vector<ServiceFile>& files,
+                  const std::map<std::string, std::string>& previous);
+
+}  // namespace vanillafall
+
+#endif  // OPERATOR_BUNDLE_H_
--- /dev/null
+++ b/packages/transport/backend_client.cc
@@ -0,0 +1,354 @@
+#include "transport/backend_client.h"
+
+#include <curl/curl.h>
+
+#include <array>
+#include <atomic>
+#include <cassert>
+#include <map>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "base/bounded_ring.h"
+
+namespace vanillafall {
+namespace {
+
+constexpr std::size_t kRingCapacity = 16'384;
+constexpr int kPollMilliseconds = 1000;
+constexpr long kMostIdleConnections = 512;
+constexpr long kConnectTimeoutMilliseconds = 1000;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+struct CancelCall {
+  BackendClient::CallId id = 0;
+};
+using Command = std::variant<BackendClient::Call, CancelCall>;
+
+// One call in progress; owns its library handles.
+class Transfer {
+ public:
+  Transfer(BackendClient::Call call, std::size_t max_answer_bytes);
+  ~Transfer();
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+
+  CURL* easy() const { return easy_; }
+  BackendClient::CallId id() const { return call_.id; }
+  // Reads how the library ended the transfer.
+  BackendClient::Result Finish(CURLcode code);
+
+ private:
+  static int OnReadyToSend(void* self, char*, char*, int, int);
+  static std::size_t OnHeader(char* data,
+                              std::size_t size,
+                              std::size_t count,
+                              void* self);
+  static std::size_t OnBody(char* data,
+                            std::size_t size,
+                            std::size_t count,
+                            void* self);
+
+  void SetUpRequest();
+  void SetUpHeaders();
+  BackendClient::End EndOf(CURLcode code) const;
+  bool HasKnownLength() const;
+
+  BackendClient::Call call_;
+  const std::size_t max_answer_bytes_;
+  CURL* const easy_;
+  curl_slist* headers_ = nullptr;
+  int sends_ = 0;
+  bool is_too_large_ = false;
+  bool has_length_ = false;
+  HttpResponse response_;
+};
+
+Transfer::Transfer(BackendClient::Call call, std::size_t max_answer_bytes)
+    : call_(std::move(call)),
+      max_answer_bytes_(max_answer_bytes),
+      easy_(curl_easy_init()) {
+  SetUpRequest();
+  SetUpHeaders();
+}
+
+Transfer::~Transfer() {
+  curl_easy_cleanup(easy_);
+  curl_slist_free_all(headers_);
+}
+
+void Transfer::SetUpRequest() {
+  const HttpRequest& request = call_.request;
+  const std::string url = "http://" + call_.address + request.target;
+  curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call_.timeout.count()));
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   kConnectTimeoutMilliseconds);
+  if (request.method == "HEAD") {
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT";
+  if (has_body) {
+    curl_easy_setopt(easy_, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request.body.data());
+  }
+  curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &Transfer::OnReadyToSend);
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+}
+
+void Transfer::SetUpHeaders() {
+  // Without these two the library would add headers of its own, and one of
+  // them makes it send the request again.
+  headers_ = curl_slist_append(headers_, "Expect:");
+  if (FindHeader(call_.request.headers, "Content-Type").empty()) {
+    headers_ = curl_slist_append(headers_, "Content-Type:");
+  }
+  for (const HttpHeader& header : call_.request.headers) {
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    headers_ = curl_slist_append(headers_, line.c_str());
+  }
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+}
+
+// The library calls this each time it is about to send the request. It must
+// never send a second time, so a resend is aborted here.
+int Transfer::OnReadyToSend(void* self, char*, char*, int, int) {
+  auto* transfer = static_cast<Transfer*>(self);
+  ++transfer->sends_;
+  return transfer->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+std::size_t Transfer::OnHeader(char* data,
+                               std::size_t size,
+                               std::size_t count,
+                               void* self) {
+  auto* transfer = static_cast<Transfer*>(self);
+  const std::string_view line(data, size * count);
+  if (line.starts_with("HTTP/")) {
+    transfer->response_.headers.clear();
+    transfer->has_length_ = false;
+    return line.size();
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return line.size();
+  }
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value = line.substr(colon + 1);
+  const std::size_t first = value.find_first_not_of(" \t");
+  const std::size_t last = value.find_last_not_of(" \t\r\n");
+  value = first == std::string_view::npos || last == std::string_view::npos
+              ? std::string_view()
+              : value.substr(first, last - first + 1);
+  if (EqualsIgnoringCase(name, "Content-Length") ||
+      EqualsIgnoringCase(name, "Transfer-Encoding")) {
+    transfer->has_length_ = true;
+  }
+  if (!IsHopByHopHeader(name)) {
+    transfer->response_.headers.push_back(
+        {std::string(name), std::string(value)});
+  }
+  return line.size();
+}
+
+std::size_t Transfer::OnBody(char* data,
+                             std::size_t size,
+                             std::size_t count,
+                             void* self) {
+  auto* transfer = static_cast<Transfer*>(self);
+  const std::size_t length = size * count;
+  if (transfer->response_.body.size() + length > transfer->max_answer_bytes_) {
+    transfer->is_too_large_ = true;
+    return 0;
+  }
+  transfer->response_.body.append(data, length);
+  return length;
+}
+
+BackendClient::Result Transfer::Finish(CURLcode code) {
+  long status = 0;
+  curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+  response_.status = static_cast<int>(status);
+  BackendClient::Result result;
+  result.id = call_.id;
+  result.end = EndOf(code);
+  if (result.end == BackendClient::End::kAnswered) {
+    result.response = std::move(response_);
+  }
+  return result;
+}
+
+BackendClient::End Transfer::EndOf(CURLcode code) const {
+  using End = BackendClient::End;
+  if (code == CURLE_OK) {
+    return HasKnownLength() ? End::kAnswered : End::kTruncated;
+  }
+  if (sends_ == 0) {
+    return End::kNotConnected;
+  }
+  if (is_too_large_) {
+    return End::kTooLarge;
+  }
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    return End::kTimeout;
+  }
+  const bool has_begun = response_.status != 0 || !response_.headers.empty();
+  return has_begun ? End::kTruncated : End::kLost;
+}
+
+// A body that ends with its connection can't be told from one that was cut.
+bool Transfer::HasKnownLength() const {
+  const bool has_no_body = response_.status == kNoContent ||
+                           response_.status == kNotModified ||
+                           call_.request.method == "HEAD";
+  return has_no_body || has_length_;
+}
+
+}  // namespace
+
+class BackendClient::Impl {
+ public:
+  Impl(std::size_t max_answer_bytes, Listener& listener)
+      : max_answer_bytes_(max_answer_bytes),
+        listener_(listener),
+        ring_(kRingCapacity),
+        multi_(curl_multi_init()) {
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMostIdleConnections);
+  }
+  ~Impl() { curl_multi_cleanup(multi_); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    is_stopping_ = true;
+    curl_multi_wakeup(multi_);
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  bool Push(Command command) {
+    const bool is_taken = ring_.TryPush(std::move(command));
+    curl_multi_wakeup(multi_);
+    return is_taken;
+  }
+
+ private:
+  void Run();
+  void TakeCommands();
+  void Begin(Call call);
+  void Cancel(CallId id);
+  void TakeFinished();
+
+  const std::size_t max_answer_bytes_;
+  Listener& listener_;
+  BoundedRing<Command> ring_;
+  CURLM* const multi_;
+  std::atomic<bool> is_stopping_{false};
+  std::map<CallId, std::unique_ptr<Transfer>> transfers_;
+  std::thread thread_;
+};
+
+void BackendClient::Impl::Run() {
+  while (!is_stopping_) {
+    TakeCommands();
+    int running = 0;
+    curl_multi_perform(multi_, &running);
+    TakeFinished();
+    curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
+  }
+  for (const auto& [id, transfer] : transfers_) {
+    curl_multi_remove_handle(multi_, transfer->easy());
+  }
+  transfers_.clear();
+}
+
+void BackendClient::Impl::TakeCommands() {
+  while (auto command = ring_.TryPop()) {
+    if (auto* call = std::get_if<Call>(&*command)) {
+      Begin(std::move(*call));
+    } else {
+      Cancel(std::get<CancelCall>(*command).id);
+    }
+  }
+}
+
+void BackendClient::Impl::Begin(Call call) {
+  auto transfer =
+      std::make_unique<Transfer>(std::move(call), max_answer_bytes_);
+  curl_multi_add_handle(multi_, transfer->easy());
+  const CallId id = transfer->id();
+  transfers_[id] = std::move(transfer);
+}
+
+void BackendClient::Impl::Cancel(CallId id) {
+  const auto node = transfers_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  curl_multi_remove_handle(multi_, node.mapped()->easy());
+  listener_.OnBackendResult({id, End::kCancelled, {}});
+}
+
+void BackendClient::Impl::TakeFinished() {
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    char* context = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
+    auto* transfer = reinterpret_cast<Transfer*>(context);
+    curl_multi_remove_handle(multi_, transfer->easy());
+    Result result = transfer->Finish(code);
+    transfers_.erase(result.id);
+    listener_.OnBackendResult(std::move(result));
+  }
+}
+
+BackendClient::BackendClient(std::size_t max_answer_bytes, Listener& listener)
+    : impl_(std::make_unique<Impl>(max_answer_bytes, listener)) {}
+
+BackendClient::~BackendClient() {
+  Stop();
+}
+
+void BackendClient::Start() {
+  impl_->Start();
+}
+
+void BackendClient::Stop() {
+  impl_->Stop();
+}
+
+bool BackendClient::Send(Call call) {
+  return impl_->Push(std::move(call));
+}
+
+bool BackendClient::Cancel(CallId id) {
+  return impl_->Push(CancelCall{id});
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/transport/caller_server.cc
@@ -0,0 +1,348 @@
+#include "transport/caller_server.h"
+
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "transport/address.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::seconds;
+
+// One request of a connection, from its first line to its last byte of answer.
+struct Exchange {
+  CallerServer::RequestId id = 0;
+  HttpRequest request;
+  TimePoint started;
+  bool has_headers = false;
+  bool is_handed_over = false;
+  Reason refusal = Reason::kOk;
+  std::optional<CallerServer::Answer> answer;
+};
+
+MHD_Result CollectHeader(void* context,
+                         MHD_ValueKind /*kind*/,
+                         const char* name,
+                         const char* value) {
+  auto* headers = static_cast<std::vector<HttpHeader>*>(context);
+  if (!IsHopByHopHeader(name)) {
+    headers->push_back({name, value == nullptr ? "" : value});
+  }
+  return MHD_YES;
+}
+
+std::uint64_t DeclaredLength(MHD_Connection* connection) {
+  const char* text = MHD_lookup_connection_value(
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  std::uint64_t length = 0;
+  if (text != nullptr) {
+    const std::string_view view(text);
+    std::from_chars(view.data(), view.data() + view.size(), length);
+  }
+  return length;
+}
+
+// Builds the library's response; a refusal gets a short text as its body.
+MHD_Response* MakeResponse(const CallerServer::Answer& answer) {
+  const HttpResponse& response = answer.response;
+  std::string text = response.body;
+  if (response.status == 0) {
+    text = std::string(ToString(answer.outcome)) + ": " +
+           ToString(answer.reason) + "\n";
+  }
+  MHD_Response* made = MHD_create_response_from_buffer(text.size(), text.data(),
+                                                       MHD_RESPMEM_MUST_COPY);
+  for (const HttpHeader& header : response.headers) {
+    if (!IsHopByHopHeader(header.name)) {
+      MHD_add_response_header(made, header.name.c_str(), header.value.c_str());
+    }
+  }
+  MHD_add_response_header(made, kOutcomeHeader, ToString(answer.outcome));
+  MHD_add_response_header(made, kReasonHeader, ToString(answer.reason));
+  return made;
+}
+
+MHD_Result Queue(MHD_Connection* connection,
+                 const CallerServer::Answer& answer) {
+  const int own_status = answer.response.status;
+  const int status =
+      own_status == 0 ? GetReasonInfo(answer.reason).http_status : own_status;
+  MHD_Response* response = MakeResponse(answer);
+  const MHD_Result result =
+      MHD_queue_response(connection, static_cast<unsigned>(status), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+CallerServer::Answer Refusal(Reason reason) {
+  return {Outcome::kNotRun, reason, {}};
+}
+
+}  // namespace
+
+class CallerServer::Impl {
+ public:
+  Impl(Options options, const Clock& clock, Listener& listener)
+      : options_(std::move(options)), clock_(clock), listener_(listener) {}
+
+  std::optional<Error> Start();
+  void StopAccepting();
+  void Stop();
+  void SendAnswer(RequestId id, Answer answer);
+  std::size_t open_count() const { return open_count_; }
+
+ private:
+  static void* OnFirstLine(void* self, const char* target, MHD_Connection* c);
+  static MHD_Result OnAccess(void* self,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char* version,
+                             const char* data,
+                             std::size_t* size,
+                             void** context);
+  static void OnCompleted(void* self,
+                          MHD_Connection* connection,
+                          void** context,
+                          MHD_RequestTerminationCode code);
+
+  MHD_Result Access(MHD_Connection* connection,
+                    const char* method,
+                    const char* data,
+                    std::size_t* size,
+                    Exchange* exchange);
+  MHD_Result TakeHeaders(MHD_Connection* connection,
+                         const char* method,
+                         Exchange* exchange);
+  void TakeBody(const char* data, std::size_t size, Exchange* exchange);
+  MHD_Result HandOver(MHD_Connection* connection, Exchange* exchange);
+
+  struct Waiting {
+    Exchange* exchange = nullptr;
+    MHD_Connection* connection = nullptr;
+  };
+
+  const Options options_;
+  const Clock& clock_;
+  Listener& listener_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::atomic<RequestId> last_id_{0};
+  std::atomic<std::size_t> open_count_{0};
+  std::mutex mutex_;
+  std::unordered_map<RequestId, Waiting> waiting_;
+};
+
+std::optional<Error> CallerServer::Impl::Start() {
+  const auto address = ParseAddress(options_.address);
+  if (!address) {
+    return Error{std::make_error_code(std::errc::invalid_argument),
+                 Step::kListen, options_.address, "not an address"};
+  }
+  const auto idle = std::max<seconds>(
+      seconds(1), duration_cast<seconds>(options_.send_timeout));
+  daemon_ = MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC | MHD_ALLOW_SUSPEND_RESUME, 0,
+      nullptr, nullptr, &Impl::OnAccess, this, MHD_OPTION_SOCK_ADDR,
+      reinterpret_cast<const sockaddr*>(&*address), MHD_OPTION_URI_LOG_CALLBACK,
+      &Impl::OnFirstLine, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted,
+      this, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      static_cast<std::size_t>(options_.max_header_bytes) * 2,
+      MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idle.count()),
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    return Error{std::error_code(errno, std::generic_category()), Step::kListen,
+                 options_.address, "callers' port"};
+  }
+  return std::nullopt;
+}
+
+void CallerServer::Impl::StopAccepting() {
+  if (daemon_ != nullptr) {
+    MHD_quiesce_daemon(daemon_);
+  }
+}
+
+void CallerServer::Impl::Stop() {
+  if (daemon_ == nullptr) {
+    return;
+  }
+  {
+    // The library can't stop while connections are suspended.
+    const std::lock_guard lock(mutex_);
+    for (auto& [id, waiting] : waiting_) {
+      waiting.exchange->answer = Answer{Outcome::kUnknown, Reason::kDraining};
+      MHD_resume_connection(waiting.connection);
+    }
+    waiting_.clear();
+  }
+  MHD_stop_daemon(daemon_);
+  daemon_ = nullptr;
+}
+
+void CallerServer::Impl::SendAnswer(RequestId id, Answer answer) {
+  const std::lock_guard lock(mutex_);
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) {
+    return;
+  }
+  found->second.exchange->answer = std::move(answer);
+  MHD_resume_connection(found->second.connection);
+  waiting_.erase(found);
+}
+
+void* CallerServer::Impl::OnFirstLine(void* self,
+                                      const char* target,
+                                      MHD_Connection* /*connection*/) {
+  auto* impl = static_cast<Impl*>(self);
+  auto exchange = std::make_unique<Exchange>();
+  exchange->id = ++impl->last_id_;
+  exchange->request.target = target;
+  exchange->started = impl->clock_.now();
+  ++impl->open_count_;
+  return exchange.release();
+}
+
+MHD_Result CallerServer::Impl::OnAccess(void* self,
+                                        MHD_Connection* connection,
+                                        const char* /*url*/,
+                                        const char* method,
+                                        const char* /*version*/,
+                                        const char* data,
+                                        std::size_t* size,
+                                        void** context) {
+  return static_cast<Impl*>(self)->Access(connection, method, data, size,
+                                          static_cast<Exchange*>(*context));
+}
+
+void CallerServer::Impl::OnCompleted(void* self,
+                                     MHD_Connection* /*connection*/,
+                                     void** context,
+                                     MHD_RequestTerminationCode code) {
+  auto* impl = static_cast<Impl*>(self);
+  const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*context));
+  *context = nullptr;
+  if (exchange == nullptr) {
+    return;
+  }
+  if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED &&
+      !exchange->is_handed_over) {
+    impl->listener_.OnCallerRefused(Reason::kSlowSender);
+  }
+  const std::lock_guard lock(impl->mutex_);
+  impl->waiting_.erase(exchange->id);
+  --impl->open_count_;
+}
+
+MHD_Result CallerServer::Impl::Access(MHD_Connection* connection,
+                                      const char* method,
+                                      const char* data,
+                                      std::size_t* size,
+                                      Exchange* exchange) {
+  if (exchange->answer) {
+    return Queue(connection, *exchange->answer);
+  }
+  if (!exchange->has_headers) {
+    return TakeHeaders(connection, method, exchange);
+  }
+  if (*size != 0) {
+    TakeBody(data, *size, exchange);
+    *size = 0;
+    return MHD_YES;
+  }
+  if (exchange->refusal != Reason::kOk) {
+    listener_.OnCallerRefused(exchange->refusal);
+    return Queue(connection, Refusal(exchange->refusal));
+  }
+  return HandOver(connection, exchange);
+}
+
+MHD_Result CallerServer::Impl::TakeHeaders(MHD_Connection* connection,
+                                           const char* method,
+                                           Exchange* exchange) {
+  exchange->has_headers = true;
+  exchange->request.method = method;
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
+                            &exchange->request.headers);
+  std::size_t header_bytes = exchange->request.target.size();
+  for (const HttpHeader& header : exchange->request.headers) {
+    header_bytes += header.name.size() + header.value.size();
+  }
+  const bool is_too_large =
+      header_bytes > options_.max_header_bytes ||
+      DeclaredLength(connection) > options_.max_body_bytes;
+  if (!is_too_large) {
+    return MHD_YES;
+  }
+  listener_.OnCallerRefused(Reason::kTooLarge);
+  return Queue(connection, Refusal(Reason::kTooLarge));
+}
+
+void CallerServer::Impl::TakeBody(const char* data,
+                                  std::size_t size,
+                                  Exchange* exchange) {
+  std::string& body = exchange->request.body;
+  if (body.size() + size > options_.max_body_bytes) {
+    exchange->refusal = Reason::kTooLarge;
+  }
+  if (clock_.now() - exchange->started > options_.send_timeout) {
+    exchange->refusal = Reason::kSlowSender;
+  }
+  if (exchange->refusal == Reason::kOk) {
+    body.append(data, size);
+  }
+}
+
+MHD_Result CallerServer::Impl::HandOver(MHD_Connection* connection,
+                                        Exchange* exchange) {
+  exchange->is_handed_over = true;
+  const RequestId id = exchange->id;
+  {
+    // Suspended before the hand-over, because the answer may come at once.
+    const std::lock_guard lock(mutex_);
+    waiting_[id] = {exchange, connection};
+    MHD_suspend_connection(connection);
+  }
+  if (!listener_.OnCallerRequest(id, std::move(exchange->request))) {
+    SendAnswer(id, Refusal(Reason::kOverloaded));
+  }
+  return MHD_YES;
+}
+
+CallerServer::CallerServer(Options options,
+                           const Clock& clock,
+                           Listener& listener)
+    : impl_(std::make_unique<Impl>(std::move(options), clock, listener)) {}
+
+CallerServer::~CallerServer() {
+  Stop();
+}
+
+std::optional<Error> CallerServer::Start() {
+  return impl_->Start();
+}
+
+void CallerServer::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+void CallerServer::Stop() {
+  impl_->Stop();
+}
+
+void CallerServer::SendAnswer(RequestId id, Answer answer) {
+  impl_->SendAnswer(id, std::move(answer));
+}
+
+std::size_t CallerServer::open_count() const {
+  return impl_->open_count();
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/transport/platform_client.cc
@@ -0,0 +1,192 @@
+#include "transport/platform_client.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "base/bounded_ring.h"
+#include "message/http.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRingCapacity = 4096;
+constexpr long kConnectTimeoutMilliseconds = 500;
+constexpr milliseconds kReadTimeout{2000};
+constexpr std::size_t kMostValueBytes = 1U << 20U;
+constexpr long kOkStatus = 200;
+constexpr long kFirstServerError = 500;
+constexpr std::string_view kRevisionHeader = "X-Revision";
+
+struct Query {
+  std::string name;
+  std::string target;
+  milliseconds timeout{0};
+};
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* context) {
+  auto* value = static_cast<PlatformClient::Value*>(context);
+  if (value->body.size() + size * n > kMostValueBytes) {
+    return 0;
+  }
+  value->body.append(data, size * n);
+  return size * n;
+}
+
+std::size_t OnHeader(char* data,
+                     std::size_t size,
+                     std::size_t n,
+                     void* context) {
+  auto* value = static_cast<PlatformClient::Value*>(context);
+  const std::string_view line(data, size * n);
+  const std::size_t colon = line.find(": ");
+  if (colon != std::string_view::npos &&
+      EqualsIgnoringCase(line.substr(0, colon), kRevisionHeader)) {
+    std::from_chars(line.data() + colon + 2, line.data() + line.size(),
+                    value->revision);
+  }
+  return size * n;
+}
+
+// Ends a transfer early when the client stops.
+int OnProgress(void* context, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+  return *static_cast<std::atomic<bool>*>(context) ? 1 : 0;
+}
+
+}  // namespace
+
+class PlatformClient::Impl {
+ public:
+  Impl(std::string address, Listener& listener)
+      : address_(std::move(address)),
+        listener_(listener),
+        ring_(kRingCapacity) {}
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      is_stopping_ = true;
+    }
+    changed_.notify_all();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  bool Push(Query query) {
+    const bool is_taken = ring_.TryPush(std::move(query));
+    const std::lock_guard lock(mutex_);
+    changed_.notify_all();
+    return is_taken;
+  }
+
+  std::uint64_t call_count() const { return call_count_; }
+
+ private:
+  void Run();
+  std::optional<Query> Wait();
+  void Perform(CURL* easy, const Query& query);
+
+  const std::string address_;
+  Listener& listener_;
+  BoundedRing<Query> ring_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<std::uint64_t> call_count_{0};
+  std::thread thread_;
+};
+
+void PlatformClient::Impl::Run() {
+  CURL* easy = curl_easy_init();
+  while (const std::optional<Query> query = Wait()) {
+    Perform(easy, *query);
+  }
+  curl_easy_cleanup(easy);
+}
+
+std::optional<Query> PlatformClient::Impl::Wait() {
+  std::unique_lock lock(mutex_);
+  while (!is_stopping_) {
+    if (auto query = ring_.TryPop()) {
+      return query;
+    }
+    changed_.wait(lock);
+  }
+  return std::nullopt;
+}
+
+void PlatformClient::Impl::Perform(CURL* easy, const Query& query) {
+  Value value;
+  const std::string url = "http://" + address_ + query.target;
+  curl_easy_reset(easy);
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   kConnectTimeoutMilliseconds);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(query.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &value);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &value);
+  curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+  curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &is_stopping_);
+  ++call_count_;
+  const CURLcode code = curl_easy_perform(easy);
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  const bool is_reached = code == CURLE_OK && status < kFirstServerError;
+  const bool has_value = is_reached && status == kOkStatus;
+  listener_.OnPlatformValue(
+      query.name,
+      has_value ? std::optional<Value>(std::move(value)) : std::nullopt,
+      is_reached);
+}
+
+PlatformClient::PlatformClient(std::string address, Listener& listener)
+    : impl_(std::make_unique<Impl>(std::move(address), listener)) {}
+
+PlatformClient::~PlatformClient() {
+  Stop();
+}
+
+void PlatformClient::Start() {
+  impl_->Start();
+}
+
+void PlatformClient::Stop() {
+  impl_->Stop();
+}
+
+bool PlatformClient::Read(std::string name) {
+  std::string target = "/v1/values/" + name;
+  return impl_->Push({std::move(name), std::move(target), kReadTimeout});
+}
+
+bool PlatformClient::Watch(std::string name,
+                           std::uint64_t after,
+                           milliseconds wait) {
+  std::string target = "/v1/watch/" + name + "?after=" + std::to_string(after) +
+                       "&wait_ms=" + std::to_string(wait.count());
+  return impl_->Push({std::move(name), std::move(target), wait + kReadTimeout});
+}
+
+std::uint64_t PlatformClient::call_count() const {
+  return impl_->call_count();
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/wire/wire.h
@@ -0,0 +1,10 @@
+// Module wire: the messages of module message as Cap'n Proto bytes. It rests on
+// message. The generated code under generated/ is committed; regenerate it with
+// `scripts/generate.sh` after a change of peer.capnp.
+
+#ifndef WIRE_WIRE_H_
+#define WIRE_WIRE_H_
+
+#include "wire/codec.h"
+
+#endif  // WIRE_WIRE_H_
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,134 @@
+#!/usr/bin/env bash
+# Shows the whole fleet at work on loopback. Exit code 0 only if nothing was
+# lost, doubled or mixed up. With --hold the fleet stays up.
+set -uo pipefail
+source "$(dirname "$0")/lib.sh"
+source "$(dirname "$0")/fleet.sh"
+
+HOLD=no
+[ "${1:-}" = --hold ] && HOLD=yes
+install_packages && build || exit 1
+WORK=$(mktemp -d)
+trap 'stop_all; rm -rf "$WORK"' EXIT
+FAILURES=0
+REQUEST=0
+
+fail() {
+  echo "WRONG: $*"
+  FAILURES=$((FAILURES + 1))
+}
+
+# Sends one request: daemon, tenant, method, path, key. Sets STATUS, OUTCOME,
+# REASON and BODY, and checks that the answer is this request's own.
+send() {
+  REQUEST=$((REQUEST + 1))
+  local id="r$REQUEST"
+  local key=()
+  [ -n "${5:-}" ] && key=(-H "Idempotency-Key: $5")
+  STATUS=$(curl -s -m 12 -o "$WORK/body" -D "$WORK/headers" -w '%{http_code}' \
+    -X "$3" -H "Vanillafall-Tenant: $2" -H "X-Request-Id: $id" "${key[@]}" \
+    "http://$(caller_of "$1")$4")
+  OUTCOME=$(sed -n 's/^Vanillafall-Outcome: \(.*\)\r$/\1/p' "$WORK/headers")
+  REASON=$(sed -n 's/^Vanillafall-Reason: \(.*\)\r$/\1/p' "$WORK/headers")
+  BODY=$(cat "$WORK/body")
+  if [ "$STATUS" = 200 ] && [ -z "${6:-}" ] &&
+    ! grep -q "\"path\": \"${4%%\?*}\", \"request\": \"$id\"" "$WORK/body"; then
+    fail "request $id got an answer that is not its own: $BODY"
+  fi
+}
+
+expect() {
+  [ "$OUTCOME/$REASON" = "$1" ] ||
+    fail "$2: got $STATUS $OUTCOME/$REASON, expected $1"
+}
+
+runs_of() { cat "$WORK"/history-* 2>/dev/null | grep -c " $1 "; }
+
+# Checks a key's runs against what its caller was told.
+check_key() {
+  local runs
+  runs=$(runs_of "$1")
+  [ "$runs" -le 1 ] || fail "key $1 ran $runs times"
+  [ "$2" = "done" ] && [ "$runs" -ne 1 ] && fail "key $1 is done but ran $runs times"
+  [ "$2" = "not run" ] && [ "$runs" -ne 0 ] && fail "key $1 was not run but ran $runs times"
+  return 0
+}
+
+# Paid work through daemon $1, checked at the end.
+declare -A TOLD
+pay() {
+  send "$1" "$2" POST "$3" "$4"
+  TOLD[$4]="$OUTCOME"
+}
+
+echo "== starting platform, 7 daemons in 7 data centres, 24 backend servers"
+start_fleet || exit 1
+sleep 3 # a guard abstains for the resend window after its start
+
+echo "== lookups, bookings and paid work through every daemon"
+for i in 1 2 3 4 5 6 7; do
+  send "$i" stylist GET "/fittings/$i" && expect done/ok "lookup at daemon $i"
+  send "$i" clerk GET "/courts/$i" && expect done/ok "court status at daemon $i"
+  pay "$i" opera /restyle/jobs "restyle-$i" && expect done/ok "restyle at daemon $i"
+  pay "$i" clerk /switch-on/court "switch-$i" && expect done/ok "switch-on at daemon $i"
+done
+
+echo "== refusals with their reasons"
+send 1 stranger POST /restyle/jobs k1 && expect "not run/caller-not-allowed" stranger
+send 1 court-desk POST /charges && expect "not run/missing-idempotency-key" "charge without key"
+send 1 clerk GET /nowhere && expect "not run/unknown-route" "unknown route"
+
+echo "== the same key again, through another daemon"
+send 5 opera POST /restyle/jobs restyle-1 repeat && expect done/ok "resend"
+[ "$(runs_of restyle-1)" = 1 ] || fail "the resend ran again"
+
+echo "== court-desk-1 hangs while its health endpoint says well"
+curl -s -X POST "http://127.0.0.1:18313/admin/mode?hang=1" >/dev/null
+LOST=0
+for n in $(seq 1 60); do
+  send $((n % 7 + 1)) clerk GET "/courts/$n"
+  [ "$OUTCOME" = "done" ] || LOST=$((LOST + 1))
+done
+echo "   60 lookups while it hung: $LOST without an answer"
+curl -s -X POST "http://127.0.0.1:18313/admin/mode" >/dev/null
+
+echo "== daemon 2 is killed"
+kill -9 "${DAEMON_PID[2]}"
+for n in $(seq 1 20); do
+  send $((n % 2 * 2 + 1)) stylist GET "/fittings/after-$n"
+  [ "$OUTCOME" = "done" ] || fail "lookup after the kill: $OUTCOME/$REASON"
+  pay $((n % 2 * 2 + 1)) opera /restyle/jobs "after-kill-$n"
+done
+
+echo "== a changed service file is in force everywhere"
+mkdir -p "$WORK/files" && cp "$ROOT"/samples/*.toml "$WORK/files"
+sed -i 's/^floor = 4/floor = 3/' "$WORK/files/order-desk.toml"
+"$BUILD/bin/vanillafall" bundle "$WORK/files" --out "$WORK/documents"
+publish "$WORK/documents"
+for i in 1 3 4 5 6 7; do
+  wait_for 5 has_manifest "$i" 2 || fail "daemon $i did not take the change"
+done
+
+echo "== what callers were told, against what ran"
+for key in "${!TOLD[@]}"; do
+  check_key "$key" "${TOLD[$key]}"
+done
+printf '   %s\n' "${TOLD[@]}" | sort | uniq -c
+
+echo "== events of daemon 4, which owns court-desk-1"
+"$BUILD/bin/vanillafall" events "$(operator_of 4)" | tail -n 12
+
+if [ "$HOLD" = yes ]; then
+  echo "== holding; try these, and end with Ctrl-C"
+  echo "  curl -i -H 'Vanillafall-Tenant: clerk' http://$(caller_of 1)/courts/1"
+  echo "  $BUILD/bin/vanillafall status $(operator_of 1) $(operator_of 4)"
+  echo "  $BUILD/bin/vanillafall explain court-desk-1 $(operator_of 4)"
+  trap 'exit 0' INT
+  while true; do sleep 1; done
+fi
+
+if [ "$FAILURES" -ne 0 ]; then
+  echo "demo: $FAILURES things went wrong"
+  exit 1
+fi
+echo "demo: nothing was lost, doubled or mixed up"
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,65 @@
+# Shared by the scripts of this directory: sets up, builds, starts and stops.
+
+ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+BUILD="${VF_BUILD:-$ROOT/build}"
+PIDS=()
+
+PACKAGES=(g++ cmake ninja-build ccache curl libmicrohttpd-dev
+  libcurl4-openssl-dev libcapnp-dev libtomlplusplus-dev libtclap-dev
+  libboost-log-dev libboost-dev nlohmann-json3-dev libxxhash-dev catch2
+  "$@")
+
+# Installs the packages that are missing.
+install_packages() {
+  local missing=()
+  local package
+  for package in "${PACKAGES[@]}"; do
+    dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
+  done
+  if [ "${#missing[@]}" -gt 0 ]; then
+    echo "installing ${missing[*]}"
+    apt-get update -qq >/dev/null
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq \
+      --no-install-recommends "${missing[@]}" >/dev/null
+  fi
+}
+
+# Builds everything into $BUILD.
+build() {
+  cmake -S "$ROOT" -B "$BUILD" -G Ninja "$@" >"$BUILD.configure.log" 2>&1 ||
+    { cat "$BUILD.configure.log"; return 1; }
+  ninja -C "$BUILD" --quiet
+}
+
+# Starts a process in the background and remembers it; its number is in LAST.
+start() {
+  "$@" &
+  LAST=$!
+  PIDS+=("$LAST")
+}
+
+# Ends every process that start has started.
+stop_all() {
+  local pid
+  for pid in "${PIDS[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill "$pid" 2>/dev/null
+  done
+  for pid in "${PIDS[@]}"; do
+    wait "$pid" 2>/dev/null
+  done
+  PIDS=()
+}
+
+# Waits until a command succeeds, for at most so many seconds.
+wait_for() {
+  local seconds=$1
+  shift
+  local tries=$((seconds * 10))
+  while [ "$tries" -gt 0 ]; do
+    "$@" >/dev/null 2>&1 && return 0
+    sleep 0.1
+    tries=$((tries - 1))
+  done
+  return 1
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter over all sources of the project.
+set -euo pipefail
+source "$(dirname "$0")/lib.sh" clang-format clang-tidy
+install_packages
+cd "$ROOT"
+mapfile -t SOURCES < <(git ls-files '*.cc' '*.h')
+clang-format --dry-run --Werror "${SOURCES[@]}"
+cmake -S . -B "$BUILD" -G Ninja >/dev/null
+mapfile -t UNITS < <(git ls-files '*.cc' | grep -v catch_main)
+printf '%s\n' "${UNITS[@]}" |
+  xargs -P "$(nproc)" -n 1 clang-tidy -p "$BUILD" --quiet 2>/dev/null
+echo "lint: ${#SOURCES[@]} files are clean"
--- /dev/null
+++ b/standins/backend_main.cc
@@ -0,0 +1,226 @@
+// Stand-in for a backend server.
+//
+// Every request of a path that is not listed here is work: it takes a slot,
+// takes its time, and is answered with the server's name and the request's own
+// X-Request-Id. Work that is not GET or HEAD is written to the history file
+// when it begins.
+//
+//   GET  /health                        always well, whatever the mode
+//   POST /admin/mode?KEY=VALUE...       each call sets the whole mode:
+//        work_ms=N        time that work takes
+//        hang=1           work never ends (until the mode changes)
+//        fail_percent=N   this share of the work is answered with 500
+//        slow_class=TEXT  only work whose path has this text is slow
+//        slow_ms=N        additional time for slow work
+//        cut_after=N      the body is cut after so many bytes
+//        flap_ms=N        the mode holds only every other period
+//        crash_on=TEXT    the process dies on work whose path has this text
+//        drain=1          answers say that the server is leaving
+
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "standins/standin_server.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+constexpr int kShed = 503;
+constexpr int kCrashExitCode = 9;
+constexpr std::int64_t kPercent = 100;
+constexpr milliseconds kMostHang{60'000};
+
+struct Mode {
+  milliseconds work{0};
+  bool hang = false;
+  std::int64_t fail_percent = 0;
+  std::string slow_class;
+  milliseconds slow{0};
+  std::int64_t cut_after = -1;
+  milliseconds flap{0};
+  std::string crash_on;
+  bool drain = false;
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return !part.empty() && text.find(part) != std::string::npos;
+}
+
+class Backend {
+ public:
+  Backend(std::string name,
+          int slots,
+          milliseconds work,
+          const std::string& history)
+      : name_(std::move(name)), slots_(slots), base_work_(work) {
+    mode_.work = work;
+    if (!history.empty()) {
+      history_.open(history, std::ios::app);
+    }
+  }
+
+  StandinServer::Response Handle(const StandinServer::Request& request) {
+    if (request.path == "/health") {
+      return {{kOk, {}, "well\n"}};
+    }
+    if (request.path == "/admin/mode") {
+      SetMode(request);
+      return {{kOk, {}, "ok\n"}};
+    }
+    if (request.path == "/admin/stats") {
+      return {{kOk, {}, Stats()}};
+    }
+    return Work(request);
+  }
+
+ private:
+  void SetMode(const StandinServer::Request& request) {
+    const auto text = [&request](const char* key) {
+      const auto found = request.arguments.find(key);
+      return found == request.arguments.end() ? "" : found->second;
+    };
+    const std::lock_guard lock(mutex_);
+    mode_.work = milliseconds(request.GetNumber("work_ms", base_work_.count()));
+    mode_.hang = request.GetNumber("hang", 0) != 0;
+    mode_.fail_percent = request.GetNumber("fail_percent", 0);
+    mode_.slow_class = text("slow_class");
+    mode_.slow = milliseconds(request.GetNumber("slow_ms", 0));
+    mode_.cut_after = request.GetNumber("cut_after", -1);
+    mode_.flap = milliseconds(request.GetNumber("flap_ms", 0));
+    mode_.crash_on = text("crash_on");
+    mode_.drain = request.GetNumber("drain", 0) != 0;
+    changed_.notify_all();
+  }
+
+  std::string Stats() {
+    const std::lock_guard lock(mutex_);
+    return "{\"in_use\": " + std::to_string(in_use_) +
+           ", \"most_in_use\": " + std::to_string(most_in_use_) +
+           ", \"work\": " + std::to_string(work_count_) +
+           ", \"shed\": " + std::to_string(shed_count_) + "}\n";
+  }
+
+  // The mode in force now; a flapping server is well every other period.
+  Mode CurrentMode() const {
+    if (mode_.flap == milliseconds(0)) {
+      return mode_;
+    }
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(
+        steady_clock::now().time_since_epoch());
+    const bool is_well = (elapsed / mode_.flap) % 2 == 0;
+    Mode well;
+    well.work = mode_.work;
+    return is_well ? well : mode_;
+  }
+
+  StandinServer::Response Work(const StandinServer::Request& request) {
+    std::unique_lock lock(mutex_);
+    if (in_use_ >= slots_) {
+      ++shed_count_;
+      return {{kShed, {}, "shed\n"}};
+    }
+    ++in_use_;
+    most_in_use_ = std::max(most_in_use_, in_use_);
+    ++work_count_;
+    const Mode mode = CurrentMode();
+    NoteHistory(request);
+    if (Has(request.path, mode.crash_on)) {
+      _exit(kCrashExitCode);
+    }
+    const bool is_slow =
+        mode.slow_class.empty() || Has(request.path, mode.slow_class);
+    const milliseconds time =
+        mode.hang ? kMostHang
+                  : mode.work + (is_slow ? mode.slow : milliseconds(0));
+    changed_.wait_for(lock, time,
+                      [&] { return mode.hang && !CurrentMode().hang; });
+    --in_use_;
+    const bool fails =
+        static_cast<std::int64_t>(work_count_ % kPercent) < mode.fail_percent;
+    lock.unlock();
+    return MakeAnswer(request, mode, fails);
+  }
+
+  void NoteHistory(const StandinServer::Request& request) {
+    if (!history_.is_open() || request.method == "GET" ||
+        request.method == "HEAD") {
+      return;
+    }
+    history_ << FindHeader(request.http.headers, kTenantHeader) << " "
+             << FindHeader(request.http.headers, kKeyHeader) << " "
+             << FindHeader(request.http.headers, "X-Request-Id") << " "
+             << request.path << std::endl;
+  }
+
+  StandinServer::Response MakeAnswer(const StandinServer::Request& request,
+                                     const Mode& mode,
+                                     bool fails) const {
+    StandinServer::Response response;
+    response.cut_after = mode.cut_after;
+    response.http.status = fails ? kServerError : kOk;
+    response.http.headers = {{"Content-Type", "application/json"}};
+    if (mode.drain) {
+      response.http.headers.push_back({"Vanillafall-State", "draining"});
+    }
+    response.http.body =
+        "{\"server\": \"" + name_ + "\", \"path\": \"" + request.path +
+        "\", \"request\": \"" +
+        std::string(FindHeader(request.http.headers, "X-Request-Id")) + "\"}\n";
+    return response;
+  }
+
+  const std::string name_;
+  const int slots_;
+  const milliseconds base_work_;
+  std::ofstream history_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  Mode mode_;
+  int in_use_ = 0;
+  int most_in_use_ = 0;
+  std::uint64_t work_count_ = 0;
+  std::uint64_t shed_count_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Stand-in for a backend server");
+  TCLAP::ValueArg<std::string> address("", "address", "where to serve", true,
+                                       "", "HOST:PORT", line);
+  TCLAP::ValueArg<std::string> name("", "name", "name in answers", true, "",
+                                    "NAME", line);
+  TCLAP::ValueArg<int> slots("", "slots", "work at one time", false, 3, "N",
+                             line);
+  TCLAP::ValueArg<int> work("", "work-ms", "time that work takes", false, 5,
+                            "MS", line);
+  TCLAP::ValueArg<std::string> history("", "history", "history file", false, "",
+                                       "FILE", line);
+  line.parse(argc, argv);
+  BlockStopSignals();
+  Backend backend(name.getValue(), slots.getValue(),
+                  milliseconds(work.getValue()), history.getValue());
+  const StandinServer server(address.getValue(),
+                             [&backend](const StandinServer::Request& r) {
+                               return backend.Handle(r);
+                             });
+  WaitForStopSignal();
+  return 0;
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  return vanillafall::Main(argc, argv);
+}
--- /dev/null
+++ b/standins/platform_main.cc
@@ -0,0 +1,172 @@
+// Stand-in for the platform's configuration service.
+//
+//   GET  /v1/values/NAME                        the value, X-Revision
+//   GET  /v1/watch/NAME?after=R&wait_ms=W       waits for a later revision
+//   PUT  /v1/values/NAME                        publishes (operators only)
+//   POST /admin/mode?mode=ok|down|stale&delay_ms=D
+//   GET  /admin/calls                           calls counted so far
+//
+// It counts each call, a waiting watch as one. While it is stale it answers
+// with the values that it held when it became stale.
+
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "standins/standin_server.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
+constexpr int kDown = 503;
+constexpr std::size_t kMostValueBytes = 1U << 20U;
+constexpr std::string_view kValuesPath = "/v1/values/";
+constexpr std::string_view kWatchPath = "/v1/watch/";
+
+struct Value {
+  std::uint64_t revision = 0;
+  std::string body;
+};
+
+StandinServer::Response Plain(int status, std::string body) {
+  return {{status, {}, std::move(body)}};
+}
+
+class Platform {
+ public:
+  StandinServer::Response Handle(const StandinServer::Request& request) {
+    const std::string_view path = request.path;
+    if (path == "/admin/mode") {
+      return SetMode(request);
+    }
+    if (path == "/admin/calls") {
+      return Plain(kOk, std::to_string(calls_.load()) + "\n");
+    }
+    ++calls_;
+    std::this_thread::sleep_for(delay());
+    if (path.starts_with(kValuesPath)) {
+      const std::string name(path.substr(kValuesPath.size()));
+      return request.method == "PUT" ? Put(name, request.http.body) : Get(name);
+    }
+    if (path.starts_with(kWatchPath)) {
+      return Watch(std::string(path.substr(kWatchPath.size())), request);
+    }
+    return Plain(kNotFound, "");
+  }
+
+ private:
+  milliseconds delay() {
+    const std::lock_guard lock(mutex_);
+    return delay_;
+  }
+
+  StandinServer::Response SetMode(const StandinServer::Request& request) {
+    const std::lock_guard lock(mutex_);
+    const auto mode = request.arguments.find("mode");
+    if (mode != request.arguments.end()) {
+      is_down_ = mode->second == "down";
+      const bool becomes_stale = mode->second == "stale";
+      if (becomes_stale && !is_stale_) {
+        stale_values_ = values_;
+      }
+      is_stale_ = becomes_stale;
+    }
+    delay_ = milliseconds(request.GetNumber("delay_ms", 0));
+    changed_.notify_all();
+    return Plain(kOk, "ok\n");
+  }
+
+  StandinServer::Response Put(const std::string& name,
+                              const std::string& body) {
+    if (body.size() > kMostValueBytes) {
+      return Plain(kTooLarge, "");
+    }
+    const std::lock_guard lock(mutex_);
+    values_[name] = {++revision_, body};
+    changed_.notify_all();
+    return Plain(kOk, "ok\n");
+  }
+
+  StandinServer::Response Get(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    return Answer(name, 0);
+  }
+
+  StandinServer::Response Watch(const std::string& name,
+                                const StandinServer::Request& request) {
+    const auto after =
+        static_cast<std::uint64_t>(request.GetNumber("after", 0));
+    const milliseconds wait(request.GetNumber("wait_ms", 0));
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, wait, [&] {
+      const Value* value = Find(name);
+      return is_down_ || (value != nullptr && value->revision > after);
+    });
+    return Answer(name, after);
+  }
+
+  // The value if its revision is later than the one given.
+  StandinServer::Response Answer(const std::string& name, std::uint64_t after) {
+    if (is_down_) {
+      return Plain(kDown, "");
+    }
+    const Value* value = Find(name);
+    if (value == nullptr) {
+      return Plain(kNotFound, "");
+    }
+    if (value->revision <= after) {
+      return Plain(kNotModified, "");
+    }
+    return {
+        {kOk, {{"X-Revision", std::to_string(value->revision)}}, value->body}};
+  }
+
+  const Value* Find(const std::string& name) const {
+    const auto& values = is_stale_ ? stale_values_ : values_;
+    const auto found = values.find(name);
+    return found == values.end() ? nullptr : &found->second;
+  }
+
+  std::atomic<std::uint64_t> calls_{0};
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Value> values_;
+  std::map<std::string, Value> stale_values_;
+  std::uint64_t revision_ = 0;
+  bool is_down_ = false;
+  bool is_stale_ = false;
+  milliseconds delay_{0};
+};
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Stand-in for the platform's configuration service");
+  TCLAP::ValueArg<std::string> address("", "address", "where to serve", true,
+                                       "", "HOST:PORT", line);
+  line.parse(argc, argv);
+  BlockStopSignals();
+  Platform platform;
+  const StandinServer server(address.getValue(),
+                             [&platform](const StandinServer::Request& r) {
+                               return platform.Handle(r);
+                             });
+  WaitForStopSignal();
+  return 0;
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  return vanillafall::Main(argc, argv);
+}
