--- a/packages/base/outcome.cc
+++ b/packages/base/outcome.cc
@@ -32,6 +32,7 @@
     {Reason::kPeerLost, "peer-lost", 502},
     {Reason::kBackendServerUnreachable, "backend-server-unreachable", 502},
     {Reason::kBackendServerLost, "backend-server-lost", 502},
+    {Reason::kBackendServerCrashed, "backend-server-crashed", 502},
     {Reason::kBackendServerShed, "backend-server-shed", 503},
     {Reason::kAnswerTruncated, "answer-truncated", 502},
     {Reason::kAnswerTooLarge, "answer-too-large", 502},
--- a/packages/base/outcome.h
+++ b/packages/base/outcome.h
@@ -39,6 +39,7 @@
   kPeerLost,
   kBackendServerUnreachable,
   kBackendServerLost,
+  kBackendServerCrashed,
   kBackendServerShed,
   kAnswerTruncated,
   kAnswerTooLarge,
--- /dev/null
+++ b/packages/decision/engine_fake.h
@@ -0,0 +1,165 @@
+#ifndef DECISION_ENGINE_FAKE_H_
+#define DECISION_ENGINE_FAKE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decision/engine.h"
+
+namespace vanillafall {
+
+// Several engines in one process, with their peers and backend servers played
+// by hand. Messages between engines are delivered at once and in order; the
+// test answers each call to a backend server itself. For tests only.
+class EngineFake {
+ public:
+  // A call to a backend server that the test has not answered yet.
+  struct OpenCall {
+    PeerAddress owner;
+    CallBackend call;
+  };
+
+  explicit EngineFake(FleetConfigPtr config) : config_(std::move(config)) {}
+
+  // Adds a daemon and puts the configuration in force there.
+  void AddDaemon(const PeerAddress& address) {
+    auto engine = std::make_unique<Engine>(
+        Engine::Identity{address, "centre", ++last_incarnation_,
+                         last_incarnation_},
+        Limits{}, now_ - std::chrono::hours(2));
+    engines_[address] = std::move(engine);
+    Feed(address, ConfigChanged{config_});
+    for (const auto& [peer, each] : engines_) {
+      Feed(address, PeerUpToDate{peer});
+      Feed(peer, PeerUpToDate{address});
+    }
+  }
+
+  // A daemon that answers nothing any more.
+  void Kill(const PeerAddress& address) { engines_.erase(address); }
+
+  void Send(const PeerAddress& entry,
+            RequestId id,
+            const HttpRequest& request,
+            std::chrono::milliseconds time_left) {
+    Feed(entry, CallerRequest{id, request, time_left});
+  }
+
+  // Ends a call to a backend server.
+  void End(const OpenCall& open, BackendEnd end, int status = 200) {
+    // The call given may be an element of the list that is changed here.
+    const PeerAddress owner = open.owner;
+    const BackendCallId call = open.call.call;
+    std::erase_if(open_calls_, [&owner, call](const OpenCall& each) {
+      return each.owner == owner && each.call.call == call;
+    });
+    BackendReplied replied{call, end, {}};
+    if (end == BackendEnd::kAnswered) {
+      replied.response.status = status;
+    }
+    Feed(owner, replied);
+  }
+
+  void Feed(const PeerAddress& address, const Event& event) {
+    const auto found = engines_.find(address);
+    if (found == engines_.end()) {
+      return;
+    }
+    Actions actions;
+    found->second->Handle(event, now_, actions);
+    for (Action& action : actions) {
+      Carry(address, std::move(action));
+    }
+  }
+
+  void Pass(std::chrono::milliseconds time) {
+    now_ += time;
+    std::vector<PeerAddress> addresses;
+    for (const auto& [address, engine] : engines_) {
+      addresses.push_back(address);
+    }
+    for (const PeerAddress& address : addresses) {
+      Feed(address, Tick{});
+    }
+  }
+
+  TimePoint now() const { return now_; }
+  const std::vector<OpenCall>& open_calls() const { return open_calls_; }
+  const std::vector<AnswerCaller>& answers() const { return answers_; }
+  const std::vector<LogEvent>& events() const { return events_; }
+
+ private:
+  void Carry(const PeerAddress& from, Action action) {
+    if (auto* answer = std::get_if<AnswerCaller>(&action)) {
+      answers_.push_back(std::move(*answer));
+    } else if (auto* ask = std::get_if<AskPeer>(&action)) {
+      Deliver(from, std::move(*ask));
+    } else if (auto* reply = std::get_if<ReplyPeer>(&action)) {
+      Return(std::move(*reply));
+    } else if (auto* call = std::get_if<CallBackend>(&action)) {
+      open_calls_.push_back({from, std::move(*call)});
+    } else if (auto* event = std::get_if<LogEvent>(&action)) {
+      events_.push_back(std::move(*event));
+    }
+  }
+
+  void Deliver(const PeerAddress& from, AskPeer ask) {
+    if (!engines_.contains(ask.peer)) {
+      Feed(from, PeerReplied{ask.call, PeerFailure::kNotSent});
+      return;
+    }
+    const PeerCallId call = ++last_call_;
+    asked_[call] = {from, ask.call};
+    Feed(ask.peer, PeerAsked{call, std::move(ask.request)});
+  }
+
+  void Return(ReplyPeer reply) {
+    const auto node = asked_.extract(reply.call);
+    const Asked asked = node.mapped();
+    Feed(asked.from, PeerReplied{asked.call, std::move(reply.reply)});
+  }
+
+  struct Asked {
+    PeerAddress from;
+    PeerCallId call = 0;
+  };
+
+  const FleetConfigPtr config_;
+  TimePoint now_ = TimePoint() + std::chrono::hours(100);
+  std::uint64_t last_incarnation_ = 0;
+  PeerCallId last_call_ = 0;
+  std::map<PeerAddress, std::unique_ptr<Engine>> engines_;
+  std::map<PeerCallId, Asked> asked_;
+  std::vector<OpenCall> open_calls_;
+  std::vector<AnswerCaller> answers_;
+  std::vector<LogEvent> events_;
+};
+
+// A service with one route, "/work", of which POST is non-idempotent, and one
+// backend server of three slots for each owner.
+inline FleetConfigPtr MakeFakeFleet(const std::vector<PeerAddress>& owners) {
+  ServiceConfig service;
+  service.name = "restyle";
+  service.number = 1;
+  service.routes = {{"/work", "paid", {"POST"}}};
+  service.floor = 1;
+  service.callers = {"*"};
+  service.resend_window = std::chrono::minutes(15);
+  for (const PeerAddress& owner : owners) {
+    service.backend_servers.push_back(
+        {"server-at-" + owner, "backend-of-" + owner, owner, "centre", 3});
+  }
+  auto config = std::make_shared<FleetConfig>();
+  config->manifest_number = 1;
+  config->services[service.name] = service;
+  return config;
+}
+
+}  // namespace vanillafall
+
+#endif  // DECISION_ENGINE_FAKE_H_
--- a/packages/decision/entry.cc
+++ b/packages/decision/entry.cc
@@ -202,6 +202,8 @@
   Pending& pending = found->second;
   pending.reason = reply.reason;
   pending.response = reply.response;
+  pending.run.is_crash_suspect = pending.run.is_crash_suspect ||
+                                 reply.reason == Reason::kBackendServerCrashed;
   // One unknown try makes the whole request unknown, unless a later one ends.
   const bool was_unknown = pending.outcome == Outcome::kUnknown;
   pending.outcome = was_unknown && reply.outcome == Outcome::kNotRun
--- a/packages/decision/owner.cc
+++ b/packages/decision/owner.cc
@@ -13,8 +13,9 @@
 
 constexpr milliseconds kLeaseTimeout{500};
 constexpr milliseconds kCrashNoticeTimeout{1000};
-// Connections that break within this time belong to the same crash.
-constexpr milliseconds kSameCrash{200};
+// Any answer to this request proves that the server has not crashed.
+constexpr char kHealthTarget[] = "/health";
+constexpr milliseconds kCrashProbeTimeout{500};
 constexpr int kServerErrorStatus = 500;
 // An answer header by which a backend server says that it is leaving.
 constexpr char kStateHeader[] = "Vanillafall-State";
@@ -136,6 +137,10 @@
     Answer(origin, server, RefusalWith(refusal), now, actions);
     return;
   }
+  if (run.is_crash_suspect) {
+    // The crash notice may still be on its way here.
+    crash_guard_.OnNotice({run.service, run.fingerprint, false}, now);
+  }
   const bool alone = crash_guard_.Check(run.fingerprint, now) ==
                      CrashGuard::Verdict::kRunAlone;
   const Ticket ticket = ++last_ticket_;
@@ -156,6 +161,10 @@
                              TimePoint now,
                              Actions& actions) {
   const Ticket ticket = replied.call;
+  if (const auto probe = crash_probes_.extract(ticket); !probe.empty()) {
+    OnCrashProbed(probe.mapped(), replied.end, now, actions);
+    return;
+  }
   const auto found = works_.find(ticket);
   if (found == works_.end()) {
     return;
@@ -165,8 +174,10 @@
   assert(server != nullptr && "a server lives until its work has ended");
   RecordSample(work, replied, now);
   if (replied.end == BackendEnd::kLost) {
-    NoteCrash(*server, now, actions);
-  } else if (replied.end == BackendEnd::kAnswered) {
+    ProbeForCrash(ticket, *server, actions);
+    return;
+  }
+  if (replied.end == BackendEnd::kAnswered) {
     crash_guard_.OnDone(work.run.fingerprint);
   }
   const bool is_leaving =
@@ -174,11 +185,7 @@
   if (is_leaving && !server->is_draining) {
     NoteDraining(server->config.name, now, actions);
   }
-  const RunReply reply = ReplyToEnd(replied);
-  if (work.run.key) {
-    keyed_.End(ticket, reply, now, actions);
-  }
-  Finish(ticket, reply, now, actions);
+  Conclude(ticket, ReplyToEnd(replied), now, actions);
 }
 
 void Owner::OnPeerReplied(const PeerReplied& replied,
@@ -362,6 +369,16 @@
   StartWaiting(*server, now, actions);
 }
 
+void Owner::Conclude(Ticket ticket,
+                     const RunReply& reply,
+                     TimePoint now,
+                     Actions& actions) {
+  if (works_.at(ticket).run.key) {
+    keyed_.End(ticket, reply, now, actions);
+  }
+  Finish(ticket, reply, now, actions);
+}
+
 void Owner::RecordSample(const Work& work,
                          const BackendReplied& replied,
                          TimePoint now) {
@@ -374,12 +391,75 @@
   HealthOf(work.run.service).Record(work.run.backend_server, sample, now);
 }
 
-void Owner::NoteCrash(Server& server, TimePoint now, Actions& actions) {
-  if (server.last_crash != TimePoint() &&
-      now - server.last_crash < kSameCrash) {
+void Owner::ProbeForCrash(Ticket lost, Server& server, Actions& actions) {
+  if (server.crash_probe != 0) {
+    crash_probes_.at(server.crash_probe).lost.push_back(lost);
     return;
   }
-  server.last_crash = now;
+  CallBackend call;
+  call.call = ++last_ticket_;
+  call.address = server.config.address;
+  call.request.method = "GET";
+  call.request.target = kHealthTarget;
+  call.timeout = kCrashProbeTimeout;
+  server.crash_probe = call.call;
+  crash_probes_[call.call] = {ServerId(server.service, server.config.name),
+                              GetInFlight(server),
+                              {lost}};
+  actions.emplace_back(std::move(call));
+}
+
+void Owner::OnCrashProbed(const CrashProbe& probe,
+                          BackendEnd end,
+                          TimePoint now,
+                          Actions& actions) {
+  Server& server = servers_.at(probe.server_id);
+  server.crash_probe = 0;
+  // A server that still accepts connections has not crashed, however sick.
+  const bool has_crashed = end == BackendEnd::kNotConnected;
+  if (has_crashed) {
+    NoteCrash(probe, server.service, now, actions);
+  }
+  RunReply reply;
+  reply.outcome = Outcome::kUnknown;
+  reply.reason =
+      has_crashed ? Reason::kBackendServerCrashed : Reason::kBackendServerLost;
+  for (const Ticket ticket : probe.lost) {
+    Conclude(ticket, reply, now, actions);
+  }
+}
+
+void Owner::NoteCrash(const CrashProbe& probe,
+                      const std::string& service,
+                      TimePoint now,
+                      Actions& actions) {
+  for (const CrashNotice& notice :
+       crash_guard_.OnCrash(service, probe.in_flight, now)) {
+    const bool is_convicted = crash_guard_.Check(notice.fingerprint, now) ==
+                              CrashGuard::Verdict::kRefuse;
+    actions.emplace_back(LogEvent{is_convicted ? LogEventId::kCrashConvicted
+                                               : LogEventId::kCrashSuspected,
+                                  probe.server_id,
+                                  "request " + notice.fingerprint.ToHex()});
+    TellOwners(service, notice, actions);
+  }
+}
+
+void Owner::TellOwners(const std::string& service,
+                       const CrashNotice& notice,
+                       Actions& actions) {
+  const ServiceConfig* config = config_->FindService(service);
+  if (config == nullptr) {
+    return;
+  }
+  for (const PeerAddress& peer : config->Owners()) {
+    if (peer != self_) {
+      peers_.Ask(peer, notice, kCrashNoticeTimeout, actions);
+    }
+  }
+}
+
+std::vector<Hash128> Owner::GetInFlight(const Server& server) const {
   std::vector<Hash128> in_flight;
   for (const auto& [ticket, work] : works_) {
     const bool is_here = work.is_called && work.run.service == server.service &&
@@ -388,22 +468,7 @@
       in_flight.push_back(work.run.fingerprint);
     }
   }
-  const ServiceConfig* service = config_->FindService(server.service);
-  const std::vector<CrashNotice> notices =
-      crash_guard_.OnCrash(server.service, in_flight, now);
-  for (const CrashNotice& notice : notices) {
-    actions.emplace_back(LogEvent{LogEventId::kCrashSuspected,
-                                  server.service + "/" + server.config.name,
-                                  "request " + notice.fingerprint.ToHex()});
-    if (service == nullptr) {
-      continue;
-    }
-    for (const PeerAddress& peer : service->Owners()) {
-      if (peer != self_) {
-        peers_.Ask(peer, notice, kCrashNoticeTimeout, actions);
-      }
-    }
-  }
+  return in_flight;
 }
 
 void Owner::NoteDraining(const std::string& name,
--- a/packages/decision/owner.h
+++ b/packages/decision/owner.h
@@ -71,7 +71,15 @@
     bool is_draining = false;
     // No longer named by the configuration; lives until its work has ended.
     bool is_removed = false;
-    TimePoint last_crash;
+    // The probe that runs since a connection broke; 0 when none does.
+    BackendCallId crash_probe = 0;
+  };
+  // A broken connection whose cause is being looked for.
+  struct CrashProbe {
+    std::string server_id;
+    std::vector<Hash128> in_flight;
+    // Work whose connection broke; it is answered when the cause is known.
+    std::vector<Admission::Ticket> lost;
   };
   struct Work {
     PeerCallId origin = 0;
@@ -112,7 +120,26 @@
   void RecordSample(const Work& work,
                     const BackendReplied& reply,
                     TimePoint now);
-  void NoteCrash(Server& server, TimePoint now, Actions& actions);
+  // A connection broke: asks the server whether it still accepts any, and
+  // answers the work only then, so that a retry meets owners that know.
+  void ProbeForCrash(Ticket lost, Server& server, Actions& actions);
+  void OnCrashProbed(const CrashProbe& probe,
+                     BackendEnd end,
+                     TimePoint now,
+                     Actions& actions);
+  void NoteCrash(const CrashProbe& probe,
+                 const std::string& service,
+                 TimePoint now,
+                 Actions& actions);
+  // Settles and answers work that a backend server has ended.
+  void Conclude(Ticket ticket,
+                const RunReply& reply,
+                TimePoint now,
+                Actions& actions);
+  void TellOwners(const std::string& service,
+                  const CrashNotice& notice,
+                  Actions& actions);
+  std::vector<Hash128> GetInFlight(const Server& server) const;
   void NoteDraining(const std::string& name, TimePoint now, Actions& actions);
   void RefreshSlotLimits(TimePoint now, Actions& actions);
   void SendLeaseRequests(TimePoint now, Actions& actions);
@@ -130,6 +157,7 @@
   std::map<std::string, std::unique_ptr<ServiceHealth>, std::less<>> health_;
   std::map<std::string, Server, std::less<>> servers_;
   std::unordered_map<Ticket, Work> works_;
+  std::unordered_map<BackendCallId, CrashProbe> crash_probes_;
   std::unordered_map<PeerCallId, LeaseCall> lease_calls_;
 };
 
--- a/packages/message/peer.h
+++ b/packages/message/peer.h
@@ -55,6 +55,8 @@
   std::chrono::milliseconds time_left{0};
   // Number of the service's document that the entry routed by.
   std::uint64_t service_number = 0;
+  // A former try of this request ended with a crash of its backend server.
+  bool is_crash_suspect = false;
 };
 
 struct RunReply {
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -87,6 +87,7 @@
   builder.setTimeLeftMs(run.time_left.count());
   builder.setServiceNumber(run.service_number);
   builder.setKeyTimeMs(run.key_time.count());
+  builder.setIsCrashSuspect(run.is_crash_suspect);
 }
 
 RunRequest Get(wire::RunRequest::Reader reader) {
@@ -107,6 +108,7 @@
   run.time_left = milliseconds(reader.getTimeLeftMs());
   run.service_number = reader.getServiceNumber();
   run.key_time = milliseconds(reader.getKeyTimeMs());
+  run.is_crash_suspect = reader.getIsCrashSuspect();
   return run;
 }
 
--- a/packages/wire/peer.capnp
+++ b/packages/wire/peer.capnp
@@ -32,6 +32,7 @@
   timeLeftMs @12 :Int64;
   serviceNumber @13 :UInt64;
   keyTimeMs @14 :Int64;
+  isCrashSuspect @15 :Bool;
 }
 
 struct RunReply {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 source "$(dirname "$0")/lib.sh" clang-format clang-tidy
 install_packages
 cd "$ROOT"
-mapfile -t SOURCES < <(git ls-files '*.cc' '*.h')
+mapfile -t SOURCES < <(git ls-files '*.cc' '*.h' ':!packages/wire/generated')
 clang-format --dry-run --Werror "${SOURCES[@]}"
 cmake -S . -B "$BUILD" -G Ninja >/dev/null
 mapfile -t UNITS < <(git ls-files '*.cc' | grep -v catch_main)
