--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,7 @@
 PACKAGES=(g++ cmake ninja-build ccache curl libmicrohttpd-dev
   libcurl4-openssl-dev libcapnp-dev libtomlplusplus-dev libtclap-dev
   libboost-log-dev libboost-dev nlohmann-json3-dev libxxhash-dev catch2
-  "$@")
+  spin)
 
 # Installs the packages that are missing.
 install_packages() {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks formatting and runs the linter over all sources of the project.
 set -euo pipefail
-source "$(dirname "$0")/lib.sh" clang-format clang-tidy
+source "$(dirname "$0")/lib.sh"
+PACKAGES+=(clang-format clang-tidy)
 install_packages
 cd "$ROOT"
 mapfile -t SOURCES < <(git ls-files '*.cc' '*.h' ':!packages/wire/generated')
