Share the wait for a backend server between tenants and classes

Cause: the queue of an owner was first in, first out, so a tenant that floods made all others wait, and a full queue refused whoever came next. A request that had to run alone blocked the queue whenever it reached its head.

Change: waiting requests take turns by tenant and within a tenant by class. In a full queue the tenant that holds the most gives up its newest request, refused as tenant_over_share. A wait that would outlast the deadline, judged by the measured service time, is refused at once; a free slot is always used, so that a wrong estimate mends itself. Requests that run alone wait apart, and as many others as there are slots start between two of them. Owner passes the class, refuses the displaced request and gives the time of release.

--- a/packages/decision/admission.h
+++ b/packages/decision/admission.h
@@ -4,47 +4,51 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/outcome.h"
-#include "message/peer.h"
+#include "decision/fair_queue.h"
 
 namespace vanillafall {
 
 // The slots of one backend server and the bounded wait for them. Never lets
-// more requests run than there are slots. Waiting requests are served in turn
-// by tenant, so that a tenant that floods waits behind itself.
+// more requests run than there are slots.
+//
+// Waiting requests are served in turn by tenant, and within a tenant by request
+// class, so that a tenant that floods waits behind itself. A lone tenant may
+// fill the whole queue; when another comes, the tenant that holds the most
+// gives up its newest request. A request that would wait beyond its deadline,
+// judged by the measured service time, is refused at once.
+//
+// Requests that run alone have a queue of their own. While others wait too, as
+// many of them as there are slots start between two that run alone.
 class Admission {
  public:
-  using Ticket = std::uint64_t;
-
-  struct Request {
-    Ticket ticket = 0;
-    std::string tenant;
-    TimePoint deadline;
-    // Runs only while nothing else runs, and nothing else starts beside it.
-    bool alone = false;
-  };
+  using Ticket = FairQueue::Ticket;
+  using Request = AdmissionRequest;
 
   enum class Result : std::uint8_t { kStart, kWait, kRefuse };
 
   struct Decision {
     Result result = Result::kRefuse;
     Reason reason = Reason::kOverloaded;
+    // With kWait: a waiting request of another tenant that lost its place and
+    // is forgotten. It must be refused as kTenantOverShare.
+    std::optional<Ticket> displaced;
   };
 
   Admission(std::uint32_t slots, std::size_t max_waiting);
+  Admission(const Admission&) = delete;
+  Admission& operator=(const Admission&) = delete;
 
   // Offers a request. kStart takes a slot at once, kWait queues it, kRefuse
   // forgets it.
   Decision Offer(const Request& request, TimePoint now);
 
-  // Frees the slot of a ticket that started.
-  void Release(Ticket ticket);
+  // Frees the slot of a ticket that started, and learns how long it held it.
+  void Release(Ticket ticket, TimePoint now);
 
   // The next waiting request that may start now; it has taken its slot. Call
   // until empty after Release and SetSlotLimit.
@@ -66,15 +70,36 @@
   std::uint32_t slot_limit() const { return slot_limit_; }
   std::uint32_t in_use() const;
   std::uint32_t waiting() const;
+  // How long a new request of that tenant would wait if all slots are taken.
+  Duration ExpectedWait(std::string_view tenant) const;
 
  private:
+  struct Running {
+    Ticket ticket = 0;
+    bool alone = false;
+    TimePoint started;
+  };
+
   bool CanStart(const Request& request) const;
+  bool CanStartAtOnce(const Request& request) const;
+  void Start(const Request& request, TimePoint now);
+  Decision Enqueue(const Request& request);
+  Decision EnqueueAlone(const Request& request);
+  bool IsAloneDue() const;
+  void DropExpired(TimePoint now);
 
   std::uint32_t slots_;
   std::uint32_t slot_limit_;
   const std::size_t max_waiting_;
-  std::vector<Request> running_;
-  std::deque<Request> waiting_;
+  std::vector<Running> running_;
+  FairQueue waiting_;
+  FairQueue waiting_alone_;
+  // Found expired by TakeNext; handed out by TakeExpired.
+  std::vector<Ticket> expired_;
+  // Requests started since the last one that ran alone.
+  std::uint32_t starts_since_alone_ = 0;
+  // Moving average; zero until the first request has ended.
+  Duration service_time_{0};
 };
 
 }  // namespace vanillafall
--- /dev/null
+++ b/packages/decision/admission_test.cc
@@ -0,0 +1,263 @@
+#include "decision/admission.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Result = Admission::Result;
+
+constexpr seconds kLongTime{60};
+
+TimePoint At(std::int64_t ms) {
+  return TimePoint(milliseconds(ms));
+}
+
+Admission::Request RequestOf(const std::string& tenant,
+                             Admission::Ticket ticket,
+                             TimePoint deadline = TimePoint(kLongTime)) {
+  return {ticket, tenant, deadline, false, "lookup"};
+}
+
+Admission::Request AloneRequest(Admission::Ticket ticket) {
+  return {ticket, "suspect", TimePoint(kLongTime), true, "lookup"};
+}
+
+// Ends a running request and returns the one that starts in its place.
+Admission::Ticket Next(Admission& admission, Admission::Ticket ended) {
+  admission.Release(ended, At(0));
+  return admission.TakeNext(At(0)).value_or(0);
+}
+
+TEST_CASE("a tenant that floods waits behind itself", "[admission]") {
+  Admission admission(1, 64);
+  for (Admission::Ticket ticket = 1; ticket <= 20; ++ticket) {
+    admission.Offer(RequestOf("flood", ticket), At(0));
+  }
+  admission.Offer(RequestOf("light", 100), At(0));
+  REQUIRE(Next(admission, 1) == 2);
+  REQUIRE(Next(admission, 2) == 100);
+  REQUIRE(Next(admission, 100) == 3);
+}
+
+TEST_CASE("classes of a tenant take turns", "[admission]") {
+  Admission admission(1, 64);
+  for (Admission::Ticket ticket = 1; ticket <= 5; ++ticket) {
+    admission.Offer(RequestOf("tenant", ticket), At(0));
+  }
+  admission.Offer({50, "tenant", TimePoint(kLongTime), false, "booking"},
+                  At(0));
+  REQUIRE(Next(admission, 1) == 2);
+  REQUIRE(Next(admission, 2) == 50);
+}
+
+TEST_CASE("the longest tenant makes room in a full queue", "[admission]") {
+  Admission admission(1, 4);
+  for (Admission::Ticket ticket = 1; ticket <= 5; ++ticket) {
+    REQUIRE(admission.Offer(RequestOf("flood", ticket), At(0)).result !=
+            Result::kRefuse);
+  }
+  const auto light = admission.Offer(RequestOf("light", 10), At(0));
+  REQUIRE(light.result == Result::kWait);
+  REQUIRE(light.displaced == 5U);
+  const auto flood = admission.Offer(RequestOf("flood", 11), At(0));
+  REQUIRE(flood.result == Result::kRefuse);
+  REQUIRE(flood.reason == Reason::kTenantOverShare);
+  REQUIRE(admission.waiting() == 4);
+}
+
+TEST_CASE("expired work is handed back and never started", "[admission]") {
+  Admission admission(1, 64);
+  admission.Offer(RequestOf("a", 1), At(0));
+  admission.Offer(RequestOf("a", 2, At(10)), At(0));
+  admission.Offer(RequestOf("a", 3), At(0));
+  REQUIRE(admission.Offer(RequestOf("a", 4, At(20)), At(20)).reason ==
+          Reason::kDeadlinePassed);
+  admission.Release(1, At(20));
+  REQUIRE(admission.TakeNext(At(20)) == 3U);
+  REQUIRE(admission.TakeExpired(At(20)) == std::vector<std::uint64_t>{2});
+  REQUIRE(admission.TakeExpired(At(20)).empty());
+}
+
+TEST_CASE("a wait beyond the deadline is refused at once", "[admission]") {
+  Admission admission(1, 64);
+  admission.Offer(RequestOf("a", 1), At(0));
+  admission.Release(1, At(100));
+  // A free slot is used whatever the estimate says, so that it can mend.
+  REQUIRE(admission.Offer(RequestOf("a", 2, At(150)), At(100)).result ==
+          Result::kStart);
+  const auto refused = admission.Offer(RequestOf("a", 3, At(200)), At(100));
+  REQUIRE(refused.result == Result::kRefuse);
+  REQUIRE(refused.reason == Reason::kOverloaded);
+  REQUIRE(admission.Offer(RequestOf("a", 4, At(201)), At(100)).result ==
+          Result::kWait);
+}
+
+TEST_CASE("an ejected server takes nothing", "[admission]") {
+  Admission admission(3, 64);
+  admission.SetSlotLimit(0);
+  REQUIRE(admission.Offer(RequestOf("a", 1), At(0)).reason == Reason::kEjected);
+}
+
+TEST_CASE("a request that runs alone gets its turn", "[admission]") {
+  Admission admission(2, 64);
+  admission.Offer(RequestOf("a", 1), At(0));
+  admission.Offer(RequestOf("a", 2), At(0));
+  admission.Offer(AloneRequest(100), At(0));
+  for (Admission::Ticket ticket = 3; ticket <= 20; ++ticket) {
+    admission.Offer(RequestOf("a", ticket), At(0));
+  }
+  REQUIRE(Next(admission, 1) == 0);
+  REQUIRE(Next(admission, 2) == 100);
+  REQUIRE(admission.in_use() == 1);
+}
+
+TEST_CASE("requests that run alone leave turns to others", "[admission]") {
+  Admission admission(2, 64);
+  admission.Offer(AloneRequest(100), At(0));
+  admission.Offer(AloneRequest(101), At(0));
+  admission.Offer(AloneRequest(102), At(0));
+  admission.Offer(RequestOf("a", 1), At(0));
+  admission.Offer(RequestOf("a", 2), At(0));
+  REQUIRE(Next(admission, 100) == 1);
+  REQUIRE(admission.TakeNext(At(0)) == 2U);
+  REQUIRE(Next(admission, 1) == 0);
+  REQUIRE(Next(admission, 2) == 101);
+}
+
+// Offers, ends and expires requests at random and checks after each step what
+// must always hold.
+class RandomRun {
+ public:
+  explicit RandomRun(std::uint64_t seed) : random_(seed) {}
+
+  void Step() {
+    now_ += milliseconds(Draw(4));
+    if (Draw(100) < 2) {
+      admission_.SetSlotLimit(static_cast<std::uint32_t>(Draw(kSlots + 1)));
+    }
+    Draw(2) == 0 ? Offer() : End();
+    for (const auto ticket : admission_.TakeExpired(now_)) {
+      REQUIRE(waiting_.at(ticket).deadline <= now_);
+      Forget(ticket);
+    }
+    StartWaiting();
+    REQUIRE(admission_.in_use() == running_.size());
+    REQUIRE(admission_.waiting() == waiting_.size());
+    REQUIRE(waiting_.size() <= kMostWaiting);
+  }
+
+  std::size_t started() const { return started_; }
+
+ private:
+  static constexpr std::uint32_t kSlots = 3;
+  static constexpr std::size_t kMostWaiting = 16;
+
+  std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
+
+  void Offer() {
+    const std::uint64_t tenant = Draw(6) < 3 ? 0 : Draw(4);
+    const Admission::Request request{
+        ++last_, "tenant-" + std::to_string(tenant),
+        now_ + milliseconds(Draw(300)), Draw(20) == 0, "lookup"};
+    const auto decision = admission_.Offer(request, now_);
+    if (decision.result == Result::kStart) {
+      Start(request);
+    } else if (decision.result == Result::kWait) {
+      waiting_[request.ticket] = request;
+    }
+    if (decision.displaced) {
+      REQUIRE(waiting_.at(*decision.displaced).tenant != request.tenant);
+      Forget(*decision.displaced);
+    }
+  }
+
+  void End() {
+    if (running_.empty()) {
+      return;
+    }
+    admission_.Release(running_.begin()->first, now_);
+    running_.erase(running_.begin());
+  }
+
+  void StartWaiting() {
+    while (const auto ticket = admission_.TakeNext(now_)) {
+      const Admission::Request request = waiting_.at(*ticket);
+      Forget(*ticket);
+      if (!request.alone) {
+        CheckTurn(request.tenant);
+      }
+      Start(request);
+    }
+  }
+
+  void Start(const Admission::Request& request) {
+    REQUIRE(request.deadline > now_);
+    for (const auto& [ticket, running] : running_) {
+      REQUIRE_FALSE(running.alone);
+    }
+    REQUIRE((!request.alone || running_.empty()));
+    running_[request.ticket] = request;
+    REQUIRE(running_.size() <= admission_.slot_limit());
+    ++started_;
+  }
+
+  // No tenant may start twice while another one waits.
+  void CheckTurn(const std::string& tenant) {
+    passed_.erase(tenant);
+    std::set<std::string> tenants;
+    for (const auto& [ticket, request] : waiting_) {
+      if (!request.alone && request.tenant != tenant) {
+        tenants.insert(request.tenant);
+      }
+    }
+    for (const std::string& other : tenants) {
+      REQUIRE(passed_[other].insert(tenant).second);
+    }
+  }
+
+  void Forget(Admission::Ticket ticket) {
+    const std::string tenant = waiting_.at(ticket).tenant;
+    waiting_.erase(ticket);
+    if (!Waits(tenant)) {
+      passed_.erase(tenant);
+    }
+  }
+
+  bool Waits(const std::string& tenant) const {
+    return std::any_of(
+        waiting_.begin(), waiting_.end(), [&tenant](const auto& entry) {
+          return !entry.second.alone && entry.second.tenant == tenant;
+        });
+  }
+
+  std::mt19937_64 random_;
+  TimePoint now_;
+  Admission admission_{kSlots, kMostWaiting};
+  Admission::Ticket last_ = 0;
+  std::size_t started_ = 0;
+  std::map<Admission::Ticket, Admission::Request> waiting_;
+  std::map<Admission::Ticket, Admission::Request> running_;
+  // Who started while this tenant waited.
+  std::map<std::string, std::set<std::string>> passed_;
+};
+
+TEST_CASE("admission holds its promises in random runs", "[admission][run]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    RandomRun run(seed);
+    for (int step = 0; step < 3000; ++step) {
+      run.Step();
+    }
+    REQUIRE(run.started() > 500);
+  }
+}
+
+}  // namespace
+}  // namespace vanillafall
--- a/packages/decision/owner.cc
+++ b/packages/decision/owner.cc
@@ -140,13 +140,17 @@
                      CrashGuard::Verdict::kRunAlone;
   const Ticket ticket = ++last_ticket_;
   const TimePoint deadline = now + run.time_left;
-  const Admission::Decision decision =
-      server->admission->Offer({ticket, run.tenant, deadline, alone}, now);
+  const Admission::Decision decision = server->admission->Offer(
+      {ticket, run.tenant, deadline, alone, run.request_class}, now);
   if (decision.result == Admission::Result::kRefuse) {
     Answer(origin, server, RefusalWith(decision.reason), now, actions);
     return;
   }
   works_[ticket] = {origin, run, deadline};
+  if (decision.displaced) {
+    Finish(*decision.displaced, RefusalWith(Reason::kTenantOverShare), now,
+           actions);
+  }
   if (decision.result == Admission::Result::kStart) {
     Start(ticket, now, actions);
   }
@@ -356,7 +360,7 @@
   const Work& work = node.mapped();
   Server* server = FindServer(work.run);
   if (work.is_running) {
-    server->admission->Release(ticket);
+    server->admission->Release(ticket, now);
   }
   Answer(work.origin, server, std::move(reply), now, actions);
   StartWaiting(*server, now, actions);
