Choose the better of two backend servers by expected wait

A server that failed fast drew requests, and one that timed out at its owner was not avoided.

Change: the better of two random servers near, or of two far where that is better by more than the extra latency. The cost is the expected wait from load that loses weight with age and own requests in flight, plus excess latency and failures. A server at fault is avoided with backoff and then tried with one request at a time. All servers are scanned only when both samples look bad. The other rules stay as member pointers for measurement.

--- a/packages/decision/router.cc
+++ b/packages/decision/router.cc
@@ -1,92 +1,349 @@
 #include "decision/router.h"
 
 #include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
 #include <utility>
 
 namespace vanillafall {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Milliseconds = std::chrono::duration<double, std::milli>;
 
 constexpr milliseconds kFirstAvoidance{200};
 constexpr std::uint32_t kMostDoublings = 5;
-// Added to the score of a server that should be chosen last.
-constexpr double kAvoidedPenalty = 1000.0;
-constexpr double kNotServingPenalty = 500.0;
-// A far server is chosen when the near ones are this much busier.
-constexpr double kFarPenalty = 0.5;
+// A reported load loses half of its weight in this time.
+constexpr milliseconds kLoadHalfLife{500};
+// The same for latency and failures.
+constexpr seconds kQualityHalfLife{5};
+// How long a server is believed to take no work after it said so.
+constexpr seconds kStateBelief{5};
+// Weight of the newest sample in moving averages.
+constexpr int kLatencySamples = 5;
+constexpr double kFailureWeight = 0.1;
+// A server counts as slow above this multiple of the service's latency.
+constexpr int kSlowMultiple = 2;
+// What a certain failure costs a caller.
+constexpr Milliseconds kFailureCost{200};
+
+double WeightAtAge(Duration age, Duration half_life) {
+  const double half_lives = Milliseconds(age) / Milliseconds(half_life);
+  return std::exp2(-half_lives);
+}
+
+bool Contains(const std::vector<std::size_t>& indexes, std::size_t index) {
+  return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
+}
+
+std::size_t DrawBelow(std::size_t bound, std::mt19937_64& random) {
+  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+}
+
+// A random member of the group that is not excluded.
+std::optional<std::size_t> Draw(const std::vector<std::size_t>& group,
+                                const std::vector<std::size_t>& excluded,
+                                std::mt19937_64& random) {
+  if (group.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t start = DrawBelow(group.size(), random);
+  for (std::size_t step = 0; step < group.size(); ++step) {
+    const std::size_t index = group[(start + step) % group.size()];
+    if (!Contains(excluded, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+void Average(Duration& average, Duration sample) {
+  const bool is_first = average == Duration(0);
+  average += is_first ? sample : (sample - average) / kLatencySamples;
+}
+
+// True when the reply shows a fault of the server or of the way to it.
+bool ShowsFault(Reason reason) {
+  switch (reason) {
+    case Reason::kNotOwner:
+    case Reason::kPeerUnreachable:
+    case Reason::kPeerLost:
+    case Reason::kBackendServerUnreachable:
+    case Reason::kBackendServerLost:
+    case Reason::kBackendServerTimeout:
+    case Reason::kAnswerTruncated:
+      return true;
+    default:
+      return false;
+  }
+}
 
 }  // namespace
 
-Router::Router(std::string data_centre)
-    : data_centre_(std::move(data_centre)) {}
+Router::Router(std::string data_centre, RoutingRule rule)
+    : data_centre_(std::move(data_centre)), rule_(RuleNamed(rule)) {}
 
 void Router::Configure(const ServiceConfig& service) {
-  std::erase_if(known_, [&service](const auto& entry) {
-    return service.FindBackendServer(entry.first) == nullptr;
-  });
+  std::vector<Server> former = std::exchange(servers_, {});
+  const std::unordered_map<std::string, Index> former_index =
+      std::exchange(index_of_, {});
+  near_.clear();
+  far_.clear();
+  for (const BackendServer& each : service.backend_servers) {
+    const Index index = servers_.size();
+    const auto known = former_index.find(each.name);
+    Server& server = servers_.emplace_back(
+        known == former_index.end() ? Server{}
+                                    : std::move(former[known->second]));
+    server.name = each.name;
+    server.is_near = each.data_centre == data_centre_;
+    server.slots = std::max(1U, each.slots);
+    index_of_[each.name] = index;
+    (server.is_near ? near_ : far_).push_back(index);
+  }
 }
 
 const BackendServer* Router::Choose(const ServiceConfig& service,
                                     const std::vector<std::string>& tried,
                                     Random& random,
                                     TimePoint now) {
-  std::vector<const BackendServer*> candidates;
-  for (const BackendServer& server : service.backend_servers) {
-    if (std::find(tried.begin(), tried.end(), server.name) == tried.end()) {
-      candidates.push_back(&server);
+  assert(service.backend_servers.size() == servers_.size() &&
+         "configure with a service before choosing among its servers");
+  Indexes tried_indexes;
+  for (const std::string& name : tried) {
+    const auto found = index_of_.find(name);
+    if (found != index_of_.end()) {
+      tried_indexes.push_back(found->second);
     }
   }
-  std::shuffle(candidates.begin(), candidates.end(), random);
-  const auto best = std::min_element(
-      candidates.begin(), candidates.end(),
-      [this, now](const BackendServer* a, const BackendServer* b) {
-        return Score(*a, now) < Score(*b, now);
-      });
-  return best == candidates.end() ? nullptr : *best;
+  if (servers_.empty()) {
+    return nullptr;
+  }
+  const std::optional<Index> chosen =
+      (this->*rule_)(tried_indexes, random, now);
+  return chosen ? &service.backend_servers[*chosen] : nullptr;
 }
 
-void Router::OnSent(const std::string& server) {
-  ++known_[server].in_flight;
+void Router::OnSent(const std::string& name) {
+  if (Server* server = FindServer(name)) {
+    ++server->in_flight;
+  }
 }
 
-void Router::OnReply(const std::string& server,
+void Router::OnReply(const std::string& name,
                      const RunReply& reply,
-                     Duration /*latency*/,
-                     TimePoint /*now*/) {
-  Knowledge& knowledge = known_[server];
-  knowledge.in_flight -= knowledge.in_flight > 0 ? 1 : 0;
-  knowledge.load = reply.load;
-  knowledge.failures_in_row = 0;
+                     Duration latency,
+                     TimePoint now) {
+  Server* server = FindServer(name);
+  if (server == nullptr) {
+    return;
+  }
+  server->in_flight -= server->in_flight > 0 ? 1 : 0;
+  const double reported = reply.load.in_use + reply.load.waiting;
+  server->others = std::max(0.0, reported - server->in_flight);
+  server->state = reply.load.state;
+  if (ShowsFault(reply.reason)) {
+    NoteFailure(*server, now);
+    server->reported = now;
+    return;
+  }
+  server->failures_in_row = 0;
+  const bool has_failed = reply.reason == Reason::kBackendServerShed;
+  const double share = server->failure_share *
+                       WeightAtAge(now - server->reported, kQualityHalfLife);
+  if (reply.outcome != Outcome::kNotRun) {
+    server->failure_share =
+        share + kFailureWeight * ((has_failed ? 1.0 : 0.0) - share);
+  }
+  server->reported = now;
+  if (reply.outcome == Outcome::kDone) {
+    LearnLatency(*server, reply, latency);
+  }
 }
 
-void Router::OnFailure(const std::string& server,
+void Router::OnFailure(const std::string& name,
                        PeerFailure /*failure*/,
                        TimePoint now) {
-  Knowledge& knowledge = known_[server];
-  knowledge.in_flight -= knowledge.in_flight > 0 ? 1 : 0;
+  Server* server = FindServer(name);
+  if (server == nullptr) {
+    return;
+  }
+  server->in_flight -= server->in_flight > 0 ? 1 : 0;
+  NoteFailure(*server, now);
+}
+
+void Router::OnSlow(const std::string& name, TimePoint now) {
+  if (Server* server = FindServer(name)) {
+    NoteFailure(*server, now);
+  }
+}
+
+Router::Rule Router::RuleNamed(RoutingRule rule) {
+  static constexpr std::array<Rule, 4> kRules{
+      &Router::ChooseOfTwo, &Router::ChooseLeastLoaded,
+      &Router::ChooseNextInTurn, &Router::ChooseAny};
+  return kRules.at(static_cast<std::size_t>(rule));
+}
+
+std::optional<Router::Index> Router::ChooseOfTwo(const Indexes& tried,
+                                                 Random& random,
+                                                 TimePoint now) {
+  std::optional<Candidate> best = BetterOfTwo(near_, tried, random, now);
+  const bool is_ideal = best && best->cost.grade == Cost::Grade::kGood &&
+                        best->cost.milliseconds <= 0.0;
+  if (!is_ideal) {
+    const auto far = BetterOfTwo(far_, tried, random, now);
+    const bool is_far_better = far && (!best || far->cost < best->cost);
+    best = is_far_better ? far : best;
+  }
+  if (best && best->cost.grade == Cost::Grade::kGood) {
+    return best->index;
+  }
+  return ChooseLeastLoaded(tried, random, now);
+}
+
+std::optional<Router::Index> Router::ChooseLeastLoaded(const Indexes& tried,
+                                                       Random& random,
+                                                       TimePoint now) {
+  const Index start = DrawBelow(servers_.size(), random);
+  std::optional<Candidate> best;
+  for (Index step = 0; step < servers_.size(); ++step) {
+    const Index index = (start + step) % servers_.size();
+    if (Contains(tried, index)) {
+      continue;
+    }
+    const Cost cost = CostOf(servers_[index], now);
+    if (!best || cost < best->cost) {
+      best = Candidate{index, cost};
+    }
+  }
+  return best ? std::optional(best->index) : std::nullopt;
+}
+
+std::optional<Router::Index> Router::ChooseNextInTurn(const Indexes& tried,
+                                                      Random& /*random*/,
+                                                      TimePoint /*now*/) {
+  for (Index step = 0; step < servers_.size(); ++step) {
+    const Index index = next_in_turn_ % servers_.size();
+    ++next_in_turn_;
+    if (!Contains(tried, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Router::Index> Router::ChooseAny(const Indexes& tried,
+                                               Random& random,
+                                               TimePoint /*now*/) {
+  const Index start = DrawBelow(servers_.size(), random);
+  for (Index step = 0; step < servers_.size(); ++step) {
+    const Index index = (start + step) % servers_.size();
+    if (!Contains(tried, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Router::Candidate> Router::BetterOfTwo(const Indexes& group,
+                                                     const Indexes& tried,
+                                                     Random& random,
+                                                     TimePoint now) const {
+  const std::optional<Index> first = Draw(group, tried, random);
+  if (!first) {
+    return std::nullopt;
+  }
+  Indexes excluded = tried;
+  excluded.push_back(*first);
+  const std::optional<Index> second = Draw(group, excluded, random);
+  const Candidate one{*first, CostOf(servers_[*first], now)};
+  if (!second) {
+    return one;
+  }
+  const Candidate other{*second, CostOf(servers_[*second], now)};
+  return other.cost < one.cost ? other : one;
+}
+
+Router::Cost Router::CostOf(const Server& server, TimePoint now) const {
+  const double others =
+      server.others * WeightAtAge(now - server.reported, kLoadHalfLife);
+  Cost cost;
+  cost.grade = GradeOf(server, now);
+  cost.busy = (server.in_flight + others) / server.slots;
+  cost.milliseconds = server.is_near ? 0.0 : Milliseconds(kFarLatency).count();
+  cost.milliseconds += WaitOf(server, server.in_flight + others, now);
+  cost.milliseconds += ExcessLatencyOf(server, now);
+  cost.milliseconds += FailureCostOf(server, now);
+  return cost;
+}
+
+Router::Cost::Grade Router::GradeOf(const Server& server, TimePoint now) const {
+  // After the avoidance, one request at a time shows whether the server is
+  // well again.
+  const bool is_on_trial = server.failures_in_row > 0 && server.in_flight > 0;
+  if (now < server.avoid_until || is_on_trial) {
+    return Cost::Grade::kAvoided;
+  }
+  const bool takes_work = server.state == ServingState::kInService ||
+                          server.state == ServingState::kProbation;
+  if (!takes_work && now < server.reported + kStateBelief) {
+    return Cost::Grade::kNotServing;
+  }
+  return Cost::Grade::kGood;
+}
+
+double Router::WaitOf(const Server& server,
+                      double busy,
+                      TimePoint /*now*/) const {
+  const bool is_on_probation = server.state == ServingState::kProbation;
+  const double slots = is_on_probation ? 1 : server.slots;
+  if (busy < slots) {
+    return 0.0;
+  }
+  const Duration service_time =
+      server.latency > Duration(0) ? server.latency : service_latency_;
+  return (busy - slots + 1) / slots * Milliseconds(service_time).count();
+}
+
+double Router::ExcessLatencyOf(const Server& server, TimePoint now) const {
+  if (server.latency <= service_latency_) {
+    return 0.0;
+  }
+  const Duration excess = server.latency - kSlowMultiple * service_latency_;
+  const double weight = WeightAtAge(now - server.reported, kQualityHalfLife);
+  return std::max(0.0, Milliseconds(excess).count() * weight);
+}
+
+double Router::FailureCostOf(const Server& server, TimePoint now) const {
+  const double weight = WeightAtAge(now - server.reported, kQualityHalfLife);
+  return server.failure_share * weight * kFailureCost.count();
+}
+
+void Router::LearnLatency(Server& server,
+                          const RunReply& reply,
+                          Duration latency) {
+  const std::uint32_t slots = std::max(1U, reply.load.slots);
+  const std::uint32_t queued = reply.load.in_use + reply.load.waiting;
+  const double rounds =
+      std::max(1.0, static_cast<double>(queued) / static_cast<double>(slots));
+  const auto sample = std::chrono::duration_cast<Duration>(latency / rounds);
+  Average(server.latency, sample);
+  Average(service_latency_, sample);
+}
+
+void Router::NoteFailure(Server& server, TimePoint now) {
   const std::uint32_t doublings =
-      std::min(knowledge.failures_in_row, kMostDoublings);
-  knowledge.avoid_until = now + kFirstAvoidance * (1U << doublings);
-  ++knowledge.failures_in_row;
-}
-
-double Router::Score(const BackendServer& server, TimePoint now) const {
-  double score = server.data_centre == data_centre_ ? 0.0 : kFarPenalty;
-  const auto found = known_.find(server.name);
-  if (found == known_.end()) {
-    return score;
-  }
-  const Knowledge& knowledge = found->second;
-  const std::uint32_t elsewhere =
-      knowledge.load.in_use + knowledge.load.waiting;
-  const double busy = std::max(elsewhere, knowledge.in_flight);
-  score += busy / std::max(1U, server.slots);
-  score += now < knowledge.avoid_until ? kAvoidedPenalty : 0.0;
-  const bool takes_work = knowledge.load.state == ServingState::kInService ||
-                          knowledge.load.state == ServingState::kProbation;
-  score += takes_work ? 0.0 : kNotServingPenalty;
-  return score;
+      std::min(server.failures_in_row, kMostDoublings);
+  server.avoid_until = now + kFirstAvoidance * (1U << doublings);
+  ++server.failures_in_row;
+}
+
+Router::Server* Router::FindServer(const std::string& name) {
+  const auto found = index_of_.find(name);
+  return found == index_of_.end() ? nullptr : &servers_[found->second];
 }
 
 }  // namespace vanillafall
