End each request by its deadline and try slow ones elsewhere in budget

Cause: a caller whose owner never replied was never answered, and a hung backend server cost half of the caller's time. The retry budget saved ten retries for each entry for ever.

Change: Entry::Advance, called on each tick, answers 50 ms after the deadline, as unknown when a try has not ended. An idempotent try that takes three times the 95th percentile of its class is followed by one elsewhere if the budget allows; the first whole answer counts, so slowness never becomes failure. The budget's savings are lost with time but for one retry.

Failed try: limiting the try itself to the learned time, since it turns a slowdown of the whole service into failures once the budget is spent.

Conclusion: focused tests pass, among them 50 entries under a total outage.

--- a/packages/decision/decision.h
+++ b/packages/decision/decision.h
@@ -10,7 +10,9 @@
 //   owner.h            backend servers of this instance: admission, execution
 //   router.h           which backend server an entry prefers
 //   retry_budget.h     how many retries are allowed
+//   latency_estimate.h quantiles of recent latency
 //   admission.h        slots and the fair, bounded wait for them
+//   fair_queue.h       turns of tenants and request classes
 //   execution_guard.h  grants for keys of non-idempotent work
 //   vote_round.h       one owner's request for such a grant
 //   service_health.h   detection and ejection of sick backend servers
--- a/packages/decision/engine.cc
+++ b/packages/decision/engine.cc
@@ -80,6 +80,7 @@
     owner_.OnDrainChanged(*drain, now, actions);
   } else {
     owner_.Advance(now, actions);
+    entry_.Advance(random_, now, actions);
     guard_.Expire(now);
   }
 }
--- a/packages/decision/entry.cc
+++ b/packages/decision/entry.cc
@@ -12,18 +12,14 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMostTries = 4;
-// An idempotent try gets this part of the time left, so that a try elsewhere
-// still has time.
-constexpr int kTimePartOfIdempotentTry = 2;
-constexpr milliseconds kLeastTryTime{50};
-
-milliseconds TimeoutOfTry(const RunRequest& run) {
-  if (!run.idempotent) {
-    return run.time_left;
-  }
-  const milliseconds part = run.time_left / kTimePartOfIdempotentTry;
-  return std::min(run.time_left, std::max(part, kLeastTryTime));
-}
+// An idempotent try is slow when it takes this many times as long as this share
+// of the recent ones did.
+constexpr int kSlowMultiple = 3;
+constexpr double kSlowQuantile = 0.95;
+constexpr milliseconds kLeastPatience{50};
+// It is slow at the latest after this part of the time left, so that a try
+// elsewhere still has time.
+constexpr int kMostPartOfTime = 2;
 
 RunReply FailureAsReply(PeerFailure failure) {
   RunReply reply;
@@ -81,10 +77,13 @@
     Finish(pending, actions);
     return;
   }
-  StateOf(pending.run.service).budget.OnFirstTry();
   Pending& kept = pending_[request.id];
   kept = std::move(pending);
-  SendNext(kept, random, now, actions);
+  WakeAt(kept, kept.deadline + kDeadlineGrace);
+  StateOf(kept.run.service).budget.OnFirstTry(now);
+  if (!Send(kept, random, now, actions)) {
+    Finish(kept, actions);
+  }
 }
 
 void Entry::OnReply(PeerCallId call,
@@ -97,12 +96,8 @@
     return;
   }
   const Try& done = node.mapped();
-  const auto pending = pending_.find(done.request);
-  if (pending != pending_.end()) {
-    StateOf(pending->second.run.service)
-        .router->OnReply(done.server, reply, now - done.sent, now);
-  }
-  Conclude(done, reply, random, now, actions);
+  NoteReply(done, reply, now);
+  Conclude(call, done, reply, random, now, actions);
 }
 
 void Entry::OnFailure(PeerCallId call,
@@ -115,12 +110,25 @@
     return;
   }
   const Try& done = node.mapped();
-  const auto pending = pending_.find(done.request);
-  if (pending != pending_.end()) {
-    StateOf(pending->second.run.service)
-        .router->OnFailure(done.server, failure, now);
+  const auto service = services_.find(done.service);
+  if (service != services_.end()) {
+    service->second.router->OnFailure(done.server, failure, now);
+  }
+  Conclude(call, done, FailureAsReply(failure), random, now, actions);
+}
+
+void Entry::Advance(Random& random, TimePoint now, Actions& actions) {
+  while (!wakes_.empty() && wakes_.begin()->at <= now) {
+    Pending& pending = pending_.at(wakes_.begin()->request);
+    if (now < pending.deadline + kDeadlineGrace) {
+      OnSlowTry(pending, random, now, actions);
+      continue;
+    }
+    // A try that has not ended may have run.
+    pending.outcome = Outcome::kUnknown;
+    pending.reason = Reason::kDeadlinePassed;
+    Finish(pending, actions);
   }
-  Conclude(done, FailureAsReply(failure), random, now, actions);
 }
 
 Reason Entry::Prepare(const CallerRequest& request, RunRequest* run) const {
@@ -159,38 +167,45 @@
   return Reason::kOk;
 }
 
-void Entry::SendNext(Pending& pending,
-                     Random& random,
-                     TimePoint now,
-                     Actions& actions) {
+bool Entry::Send(Pending& pending,
+                 Random& random,
+                 TimePoint now,
+                 Actions& actions) {
   const ServiceConfig* service = config_->FindService(pending.run.service);
   const auto time_left = duration_cast<milliseconds>(pending.deadline - now);
-  if (service == nullptr || time_left <= milliseconds(0)) {
-    if (time_left <= milliseconds(0)) {
-      pending.reason = Reason::kDeadlinePassed;
-    }
-    Finish(pending, actions);
-    return;
+  if (time_left <= milliseconds(0)) {
+    pending.reason = Reason::kDeadlinePassed;
+    return false;
   }
-  Router& router = *StateOf(service->name).router;
+  if (service == nullptr) {
+    return false;
+  }
+  ServiceState& state = StateOf(service->name);
   const BackendServer* server =
-      router.Choose(*service, pending.tried, random, now);
+      state.router->Choose(*service, pending.tried, random, now);
   if (server == nullptr) {
-    Finish(pending, actions);
-    return;
+    return false;
   }
   pending.tried.push_back(server->name);
   pending.run.backend_server = server->name;
   pending.run.service_number = service->number;
   pending.run.time_left = time_left;
-  pending.run.time_left = TimeoutOfTry(pending.run);
-  router.OnSent(server->name);
+  state.router->OnSent(server->name);
   const PeerCallId call =
-      peers_.Ask(server->owner, pending.run, pending.run.time_left, actions);
-  tries_[call] = {pending.id, server->name, now};
+      peers_.Ask(server->owner, pending.run, time_left, actions);
+  tries_[call] = {pending.id, service->name, pending.run.request_class,
+                  server->name, now};
+  pending.current_try = call;
+  ++pending.open_tries;
+  const TimePoint end = pending.deadline + kDeadlineGrace;
+  const bool may_be_slow = pending.run.idempotent;
+  WakeAt(pending,
+         may_be_slow ? now + PatienceFor(pending.run, time_left) : end);
+  return true;
 }
 
-void Entry::Conclude(const Try& done,
+void Entry::Conclude(PeerCallId call,
+                     const Try& done,
                      const RunReply& reply,
                      Random& random,
                      TimePoint now,
@@ -200,21 +215,59 @@
     return;
   }
   Pending& pending = found->second;
-  pending.reason = reply.reason;
-  pending.response = reply.response;
-  // One unknown try makes the whole request unknown, unless a later one ends.
-  const bool was_unknown = pending.outcome == Outcome::kUnknown;
-  pending.outcome = was_unknown && reply.outcome == Outcome::kNotRun
-                        ? Outcome::kUnknown
-                        : reply.outcome;
+  --pending.open_tries;
+  // An unknown try makes the whole request unknown, unless another one is done.
+  const bool stays_unknown =
+      pending.outcome == Outcome::kUnknown && reply.outcome == Outcome::kNotRun;
+  if (!stays_unknown) {
+    pending.outcome = reply.outcome;
+    pending.reason = reply.reason;
+    pending.response = reply.response;
+  }
+  if (reply.outcome == Outcome::kDone) {
+    Finish(pending, actions);
+    return;
+  }
+  const bool is_current = call == pending.current_try;
+  pending.current_try = is_current ? 0 : pending.current_try;
   const bool is_retryable =
-      reply.outcome == Outcome::kNotRun ||
-      (reply.outcome == Outcome::kUnknown && pending.run.idempotent);
-  if (is_retryable && !IsFinal(reply.reason) && MayTryAgain(pending, now)) {
-    SendNext(pending, random, now, actions);
+      reply.outcome == Outcome::kNotRun || pending.run.idempotent;
+  const bool is_sent = is_current && is_retryable && !IsFinal(reply.reason) &&
+                       MayTryAgain(pending, now) &&
+                       Send(pending, random, now, actions);
+  if (is_sent) {
+    return;
+  }
+  if (pending.open_tries == 0) {
+    Finish(pending, actions);
     return;
   }
-  Finish(pending, actions);
+  if (is_current) {
+    WakeAt(pending, pending.deadline + kDeadlineGrace);
+  }
+}
+
+void Entry::NoteReply(const Try& done, const RunReply& reply, TimePoint now) {
+  const auto found = services_.find(done.service);
+  if (found == services_.end()) {
+    return;
+  }
+  const Duration latency = now - done.sent;
+  found->second.router->OnReply(done.server, reply, latency, now);
+  if (reply.outcome == Outcome::kDone) {
+    found->second.latencies[done.request_class].Record(latency);
+  }
+}
+
+void Entry::OnSlowTry(Pending& pending,
+                      Random& random,
+                      TimePoint now,
+                      Actions& actions) {
+  WakeAt(pending, pending.deadline + kDeadlineGrace);
+  StateOf(pending.run.service).router->OnSlow(pending.tried.back(), now);
+  if (MayTryAgain(pending, now)) {
+    Send(pending, random, now, actions);
+  }
 }
 
 bool Entry::MayTryAgain(const Pending& pending, TimePoint now) {
@@ -222,10 +275,27 @@
   const bool has_choice =
       service != nullptr && pending.tried.size() < kMostTries &&
       pending.tried.size() < service->backend_servers.size();
-  if (!has_choice || pending.deadline <= now) {
+  if (!has_choice || pending.deadline - now < milliseconds(1)) {
     return false;
   }
-  return StateOf(pending.run.service).budget.TryTake();
+  return StateOf(pending.run.service).budget.TryTake(now);
+}
+
+Duration Entry::PatienceFor(const RunRequest& run, Duration time_left) {
+  const Duration most = time_left / kMostPartOfTime;
+  const std::optional<Duration> recent =
+      StateOf(run.service).latencies[run.request_class].Quantile(kSlowQuantile);
+  if (!recent) {
+    return most;
+  }
+  const Duration learned = *recent * kSlowMultiple;
+  return std::min(most, std::max<Duration>(learned, kLeastPatience));
+}
+
+void Entry::WakeAt(Pending& pending, TimePoint at) {
+  wakes_.erase({pending.wake, pending.id});
+  pending.wake = at;
+  wakes_.insert({at, pending.id});
 }
 
 void Entry::Finish(Pending& pending, Actions& actions) {
@@ -239,6 +309,7 @@
   answer.request_class = pending.run.request_class;
   answer.tenant = pending.run.tenant;
   actions.emplace_back(std::move(answer));
+  wakes_.erase({pending.wake, id});
   pending_.erase(id);
 }
 
--- /dev/null
+++ b/packages/decision/entry_test.cc
@@ -0,0 +1,244 @@
+#include "decision/entry.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kCallerTime{10};
+
+// Keeps what the entry asks of owners.
+class FakePeers final : public PeerCaller {
+ public:
+  struct Asked {
+    PeerCallId call = 0;
+    RunRequest run;
+  };
+
+  PeerCallId Ask(const PeerAddress& /*peer*/,
+                 PeerRequest request,
+                 milliseconds /*timeout*/,
+                 Actions& /*actions*/) override {
+    asked.push_back({asked.size() + 1, std::get<RunRequest>(request)});
+    return asked.back().call;
+  }
+  void Reply(PeerCallId /*call*/,
+             PeerReply /*reply*/,
+             Actions& /*actions*/) override {}
+
+  std::vector<Asked> asked;
+};
+
+FleetConfigPtr ConfigOf(int server_count) {
+  auto config = std::make_shared<FleetConfig>();
+  ServiceConfig& service = config->services["restyle"];
+  service.name = "restyle";
+  service.callers = {"*"};
+  service.missing_key = MissingKeyRule::kRunOnce;
+  service.routes = {{"/jobs", "job", {"POST"}}};
+  for (int index = 0; index < server_count; ++index) {
+    const std::string name = "restyle-" + std::to_string(index);
+    service.backend_servers.push_back({name, name, name, "nekala", 3});
+  }
+  return config;
+}
+
+RunReply DoneReply(const std::string& body) {
+  RunReply reply;
+  reply.outcome = Outcome::kDone;
+  reply.reason = Reason::kOk;
+  reply.response = {200, {}, body};
+  return reply;
+}
+
+RunReply RefusalWith(Reason reason) {
+  RunReply reply;
+  reply.reason = reason;
+  return reply;
+}
+
+class EntryUnderTest {
+ public:
+  EntryUnderTest() { entry_.Configure(ConfigOf(6)); }
+
+  RequestId Request(const std::string& method,
+                    milliseconds time_left = kCallerTime) {
+    const RequestId id = ++last_id_;
+    entry_.OnRequest({id, {method, "/jobs", {}, ""}, time_left}, random_, now_,
+                     actions_);
+    return id;
+  }
+  void Wait(Duration duration) {
+    const TimePoint end = now_ + duration;
+    while (now_ < end) {
+      now_ += kTickPeriod;
+      entry_.Advance(random_, now_, actions_);
+    }
+  }
+  // Answers the try that was sent as the count-th, from 1.
+  void Reply(std::size_t count, const RunReply& reply) {
+    entry_.OnReply(count, reply, random_, now_, actions_);
+  }
+  void Fail(std::size_t count, PeerFailure failure) {
+    entry_.OnFailure(count, failure, random_, now_, actions_);
+  }
+  // Lets the entry learn that requests take this long.
+  void Learn(Duration latency) {
+    for (int count = 0; count < 50; ++count) {
+      Request("GET");
+      Wait(latency);
+      Reply(tries(), DoneReply(""));
+    }
+    actions_.clear();
+  }
+
+  std::size_t tries() const { return peers_.asked.size(); }
+  const RunRequest& last_try() const { return peers_.asked.back().run; }
+  std::size_t answer_count() const { return actions_.size(); }
+  const AnswerCaller& answer() const {
+    return std::get<AnswerCaller>(actions_.back());
+  }
+
+ private:
+  FakePeers peers_;
+  Entry entry_{"nekala", 1000, peers_};
+  Entry::Random random_{3};
+  TimePoint now_{seconds(100)};
+  Actions actions_;
+  RequestId last_id_ = 0;
+};
+
+TEST_CASE("a caller is answered soon after its deadline", "[entry]") {
+  EntryUnderTest test;
+  test.Request("POST");
+  test.Wait(kCallerTime);
+  REQUIRE(test.answer_count() == 0);
+  test.Wait(Entry::kDeadlineGrace);
+  REQUIRE(test.answer_count() == 1);
+  REQUIRE(test.answer().outcome == Outcome::kUnknown);
+  REQUIRE(test.answer().reason == Reason::kDeadlinePassed);
+  test.Reply(1, DoneReply("late"));
+  REQUIRE(test.answer_count() == 1);
+}
+
+TEST_CASE("expired work is refused as not run", "[entry]") {
+  EntryUnderTest test;
+  test.Request("POST", milliseconds(0));
+  REQUIRE(test.tries() == 0);
+  REQUIRE(test.answer().outcome == Outcome::kNotRun);
+  REQUIRE(test.answer().reason == Reason::kDeadlinePassed);
+}
+
+TEST_CASE("time left shrinks with each try", "[entry]") {
+  EntryUnderTest test;
+  test.Request("POST");
+  REQUIRE(test.last_try().time_left == kCallerTime);
+  test.Wait(seconds(1));
+  test.Reply(1, RefusalWith(Reason::kOverloaded));
+  REQUIRE(test.tries() == 2);
+  REQUIRE(test.last_try().time_left == kCallerTime - seconds(1));
+}
+
+TEST_CASE("a hung try is followed by one elsewhere", "[entry]") {
+  EntryUnderTest test;
+  test.Learn(milliseconds(20));
+  test.Request("GET");
+  const std::string hung = test.last_try().backend_server;
+  const std::size_t sent = test.tries();
+  test.Wait(milliseconds(100));
+  REQUIRE(test.tries() == sent + 1);
+  REQUIRE(test.last_try().backend_server != hung);
+  test.Reply(sent + 1, DoneReply("second"));
+  REQUIRE(test.answer().outcome == Outcome::kDone);
+  // The next requests avoid the server that hung.
+  for (int count = 0; count < 20; ++count) {
+    test.Request("GET");
+    REQUIRE(test.last_try().backend_server != hung);
+  }
+}
+
+TEST_CASE("a slow service does not become a failing one", "[entry]") {
+  EntryUnderTest test;
+  test.Learn(milliseconds(20));
+  std::size_t sent = 0;
+  constexpr std::size_t kRequests = 30;
+  const std::size_t learned = test.tries();
+  for (; sent < kRequests; ++sent) {
+    test.Request("GET");
+  }
+  test.Wait(seconds(2));
+  const std::size_t all = test.tries();
+  REQUIRE(all - learned - sent <= 10);
+  for (std::size_t count = learned + 1; count <= all; ++count) {
+    test.Reply(count, DoneReply("slow"));
+  }
+  REQUIRE(test.answer_count() == kRequests);
+  REQUIRE(test.answer().outcome == Outcome::kDone);
+}
+
+TEST_CASE("non-idempotent work is sent once unless proved not run", "[entry]") {
+  EntryUnderTest test;
+  test.Learn(milliseconds(20));
+  const std::size_t learned = test.tries();
+  test.Request("POST");
+  test.Wait(seconds(5));
+  REQUIRE(test.tries() == learned + 1);
+  test.Fail(learned + 1, PeerFailure::kNotSent);
+  REQUIRE(test.tries() == learned + 2);
+  test.Fail(learned + 2, PeerFailure::kLost);
+  REQUIRE(test.tries() == learned + 2);
+  REQUIRE(test.answer().outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("a refusal after an unknown try leaves it unknown", "[entry]") {
+  EntryUnderTest test;
+  test.Request("GET");
+  test.Fail(1, PeerFailure::kLost);
+  test.Reply(2, RefusalWith(Reason::kOverloaded));
+  REQUIRE(test.answer().outcome == Outcome::kUnknown);
+  REQUIRE(test.answer().reason == Reason::kPeerLost);
+}
+
+TEST_CASE("a refusal does not end a request while a try is out", "[entry]") {
+  EntryUnderTest test;
+  test.Learn(milliseconds(20));
+  const std::size_t learned = test.tries();
+  test.Request("GET");
+  test.Wait(milliseconds(100));
+  REQUIRE(test.tries() == learned + 2);
+  test.Reply(learned + 2, RefusalWith(Reason::kDeadlinePassed));
+  REQUIRE(test.answer_count() == 0);
+  test.Reply(learned + 1, DoneReply("first"));
+  REQUIRE(test.answer().response.body == "first");
+}
+
+TEST_CASE("a total outage adds no more than the share of retries",
+          "[entry][run]") {
+  constexpr int kEntries = 50;
+  constexpr int kRequestsOfEntry = 600;
+  std::size_t tries = 0;
+  for (int index = 0; index < kEntries; ++index) {
+    EntryUnderTest test;
+    for (int count = 0; count < kRequestsOfEntry; ++count) {
+      test.Wait(milliseconds(50));
+      std::size_t failed = test.tries();
+      test.Request("GET");
+      while (failed < test.tries()) {
+        test.Fail(++failed, PeerFailure::kNotSent);
+      }
+    }
+    REQUIRE(test.answer_count() == kRequestsOfEntry);
+    tries += test.tries();
+  }
+  constexpr double kFirstTries = kEntries * kRequestsOfEntry;
+  const double most =
+      kFirstTries * RetryBudget::kShare + kEntries * RetryBudget::kFloor;
+  REQUIRE(static_cast<double>(tries) - kFirstTries <= most);
+}
+
+}  // namespace
+}  // namespace vanillafall
--- a/packages/decision/retry_budget.cc
+++ b/packages/decision/retry_budget.cc
@@ -1,14 +1,16 @@
 #include "decision/retry_budget.h"
 
-#include <algorithm>
+#include <cmath>
 
 namespace vanillafall {
 
-void RetryBudget::OnFirstTry() {
-  saved_ = std::min(kMostSaved, saved_ + kRetriesPerRequest);
+void RetryBudget::OnFirstTry(TimePoint now) {
+  Age(now);
+  saved_ += kShare;
 }
 
-bool RetryBudget::TryTake() {
+bool RetryBudget::TryTake(TimePoint now) {
+  Age(now);
   if (saved_ < 1.0) {
     return false;
   }
@@ -16,4 +18,13 @@
   return true;
 }
 
+void RetryBudget::Age(TimePoint now) {
+  const std::chrono::duration<double> age = now - aged_;
+  aged_ = now;
+  if (saved_ > kFloor) {
+    const double half_lives = age / kHalfLife;
+    saved_ = kFloor + (saved_ - kFloor) * std::exp2(-half_lives);
+  }
+}
+
 }  // namespace vanillafall
