--- a/packages/decision/entry_test.cc
+++ b/packages/decision/entry_test.cc
@@ -100,6 +100,7 @@
   const RunRequest& last_try() const { return peers_.asked.back().run; }
   std::size_t answer_count() const { return actions_.size(); }
   const AnswerCaller& answer() const {
+    REQUIRE_FALSE(actions_.empty());
     return std::get<AnswerCaller>(actions_.back());
   }
 
--- a/packages/decision/router_test.cc
+++ b/packages/decision/router_test.cc
@@ -82,6 +82,14 @@
     }
   }
 
+  void ReplyFromOthers(const std::string& one, const RunReply& reply) {
+    for (const BackendServer& server : service_.backend_servers) {
+      if (server.name != one) {
+        Reply(server.name, reply, milliseconds(25));
+      }
+    }
+  }
+
  private:
   ServiceConfig service_;
   Router router_{"nekala"};
@@ -118,15 +126,29 @@
   RouterUnderTest test(2, 0);
   test.ReplyFromAll(DoneUnder(0, 0), milliseconds(25));
   test.Send("near-0");
-  REQUIRE(test.Choose() == "near-1");
+  REQUIRE_FALSE(test.ChooseMany(100).contains("near-0"));
+}
+
+TEST_CASE("a short wait near is better than a way far", "[router]") {
+  RouterUnderTest test(3, 3);
+  test.ReplyFromAll(DoneUnder(0, 0), milliseconds(2));
+  for (int index = 0; index < 3; ++index) {
+    test.Reply("near-" + std::to_string(index), DoneUnder(kSlots, 0),
+               milliseconds(2));
+  }
+  for (const auto& [name, count] : test.ChooseMany(100)) {
+    REQUIRE(name.starts_with("near-"));
+  }
 }
 
 TEST_CASE("a server that fails is avoided, then tried once", "[router]") {
   RouterUnderTest test(3, 0);
+  test.ReplyFromAll(DoneUnder(2, 0), milliseconds(25));
   test.Send("near-0");
   test.Fail("near-0");
   REQUIRE_FALSE(test.ChooseMany(100).contains("near-0"));
   test.Wait(milliseconds(200));
+  test.ReplyFromOthers("near-0", DoneUnder(kSlots, 4));
   REQUIRE(test.ChooseMany(100).contains("near-0"));
   test.Send("near-0");
   REQUIRE_FALSE(test.ChooseMany(100).contains("near-0"));
@@ -137,6 +159,7 @@
 
 TEST_CASE("a backend server that times out is avoided", "[router]") {
   RouterUnderTest test(3, 0);
+  test.ReplyFromAll(DoneUnder(2, 0), milliseconds(25));
   RunReply reply = DoneUnder(1, 0);
   reply.outcome = Outcome::kUnknown;
   reply.reason = Reason::kBackendServerTimeout;
