--- a/packages/config/document.cc
+++ b/packages/config/document.cc
@@ -1,20 +1,72 @@
 #include "config/document.h"
 
+#include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <stdexcept>
 
 namespace vanillafall {
 namespace {
 
 using nlohmann::json;
 
+// Parts leave room below the platform's limit for what it may add.
+constexpr std::size_t kPartBytes = kMostValueBytes - (1U << 16U);
+constexpr std::int64_t kMostResendWindowMs = 24LL * 3600 * 1000;
+
+std::uint64_t ParseHex(std::string_view hex) {
+  constexpr int kBase = 16;
+  std::uint64_t value = 0;
+  const auto [end, failure] =
+      std::from_chars(hex.data(), hex.data() + hex.size(), value, kBase);
+  if (failure != std::errc() || end != hex.data() + hex.size()) {
+    throw std::invalid_argument("digest");
+  }
+  return value;
+}
+
 Hash128 ParseHash(const std::string& hex) {
   constexpr std::size_t kHalf = 16;
-  constexpr int kBase = 16;
   if (hex.size() != 2 * kHalf) {
     throw std::invalid_argument("digest");
   }
-  return {std::stoull(hex.substr(0, kHalf), nullptr, kBase),
-          std::stoull(hex.substr(kHalf), nullptr, kBase)};
+  const std::string_view text(hex);
+  return {ParseHex(text.substr(0, kHalf)), ParseHex(text.substr(kHalf))};
+}
+
+// A whole number in the range; the JSON library would convert all others.
+std::uint64_t Unsigned(const json& value,
+                       std::uint64_t least,
+                       std::uint64_t most) {
+  if (!value.is_number_unsigned() || value.get<std::uint64_t>() < least ||
+      value.get<std::uint64_t>() > most) {
+    throw std::out_of_range("number");
+  }
+  return value.get<std::uint64_t>();
+}
+
+std::uint64_t Number(const json& value) {
+  return Unsigned(value, 1, std::numeric_limits<std::uint64_t>::max());
+}
+
+std::uint32_t Count(const json& value) {
+  return static_cast<std::uint32_t>(
+      Unsigned(value, 1, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::string NonEmpty(const json& value) {
+  auto text = value.get<std::string>();
+  if (text.empty()) {
+    throw std::invalid_argument("empty text");
+  }
+  return text;
+}
+
+template <typename Enum>
+Enum EnumFrom(const json& value, Enum last) {
+  return static_cast<Enum>(
+      Unsigned(value, 0, static_cast<std::uint64_t>(last)));
 }
 
 json ToJson(const Route& route) {
@@ -36,16 +88,18 @@
 }
 
 Route RouteFrom(const json& value) {
-  return {value.at("prefix"), value.at("class"), value.at("non_idempotent")};
+  return {NonEmpty(value.at("prefix")), NonEmpty(value.at("class")),
+          value.at("non_idempotent")};
 }
 
 BackendServer BackendServerFrom(const json& value) {
-  return {value.at("name"), value.at("address"), value.at("owner"),
-          value.at("data_centre"), value.at("slots")};
+  return {NonEmpty(value.at("name")), NonEmpty(value.at("address")),
+          NonEmpty(value.at("owner")), NonEmpty(value.at("data_centre")),
+          Count(value.at("slots"))};
 }
 
 GuardSet GuardSetFrom(const json& value) {
-  return {value.at("number"), value.at("guards")};
+  return {Number(value.at("number")), value.at("guards")};
 }
 
 template <typename T>
@@ -68,10 +122,28 @@
 }
 
 bool IsUsable(const ServiceConfig& service) {
-  return !service.name.empty() && service.floor >= 1 &&
-         service.resend_window > std::chrono::milliseconds(0) &&
-         service.profile <= Profile::kFast &&
-         service.missing_key <= MissingKeyRule::kRunOnce;
+  return service.floor <= service.backend_servers.size();
+}
+
+json EntryToJson(const ManifestEntry& entry) {
+  json value = {{"service", entry.service},
+                {"number", entry.number},
+                {"digest", entry.digest.ToHex()}};
+  for (const Hash128& part : entry.parts) {
+    value["parts"].push_back(part.ToHex());
+  }
+  return value;
+}
+
+ManifestEntry EntryFrom(const json& value) {
+  ManifestEntry entry{NonEmpty(value.at("service")),
+                      Number(value.at("number")),
+                      ParseHash(value.at("digest")),
+                      {}};
+  for (const json& part : value.value("parts", json::array())) {
+    entry.parts.push_back(ParseHash(part));
+  }
+  return entry;
 }
 
 }  // namespace
@@ -80,12 +152,42 @@
   return "service-" + std::string(service);
 }
 
+std::vector<DocumentPart> PartsOf(const ManifestEntry& entry) {
+  const std::string name = ServiceDocumentName(entry.service);
+  if (entry.parts.empty()) {
+    return {{name, entry.digest}};
+  }
+  std::vector<DocumentPart> parts;
+  for (std::size_t i = 0; i < entry.parts.size(); ++i) {
+    parts.push_back({name + ".part-" + std::to_string(i + 1), entry.parts[i]});
+  }
+  return parts;
+}
+
+std::vector<std::string> SplitDocument(std::string_view body) {
+  std::vector<std::string> parts;
+  for (std::size_t at = 0; at < body.size(); at += kPartBytes) {
+    parts.emplace_back(body.substr(at, kPartBytes));
+  }
+  return parts;
+}
+
+ManifestEntry MakeManifestEntry(const ServiceConfig& service,
+                                std::string_view body) {
+  ManifestEntry entry{service.name, service.number, DigestOf(body), {}};
+  const std::vector<std::string> bodies = SplitDocument(body);
+  if (bodies.size() > 1) {
+    for (const std::string& part : bodies) {
+      entry.parts.push_back(DigestOf(part));
+    }
+  }
+  return entry;
+}
+
 std::string EncodeManifest(const Manifest& manifest) {
   json entries = json::array();
   for (const ManifestEntry& entry : manifest.entries) {
-    entries.push_back({{"service", entry.service},
-                       {"number", entry.number},
-                       {"digest", entry.digest.ToHex()}});
+    entries.push_back(EntryToJson(entry));
   }
   return json{{"number", manifest.number}, {"services", entries}}.dump();
 }
@@ -107,10 +209,13 @@
 std::optional<Manifest> DecodeManifest(std::string_view text) {
   return Guarded<Manifest>(text, [](const json& value) {
     Manifest manifest;
-    manifest.number = value.at("number");
+    manifest.number = Number(value.at("number"));
+    std::set<std::string> names;
     for (const json& entry : value.at("services")) {
-      manifest.entries.push_back({entry.at("service"), entry.at("number"),
-                                  ParseHash(entry.at("digest"))});
+      manifest.entries.push_back(EntryFrom(entry));
+      if (!names.insert(manifest.entries.back().service).second) {
+        throw std::invalid_argument("a service twice");
+      }
     }
     return manifest;
   });
@@ -119,15 +224,15 @@
 std::optional<ServiceConfig> DecodeService(std::string_view text) {
   const auto read = [](const json& value) {
     ServiceConfig service;
-    service.name = value.at("service");
-    service.number = value.at("number");
-    service.floor = value.at("floor");
-    service.profile = static_cast<Profile>(value.at("profile").get<int>());
+    service.name = NonEmpty(value.at("service"));
+    service.number = Number(value.at("number"));
+    service.floor = Count(value.at("floor"));
+    service.profile = EnumFrom(value.at("profile"), Profile::kFast);
     service.missing_key =
-        static_cast<MissingKeyRule>(value.at("missing_key").get<int>());
+        EnumFrom(value.at("missing_key"), MissingKeyRule::kRunOnce);
     service.callers = value.at("callers");
     service.resend_window = std::chrono::milliseconds(
-        value.at("resend_window_ms").get<std::int64_t>());
+        Unsigned(value.at("resend_window_ms"), 1, kMostResendWindowMs));
     for (const json& route : value.at("routes")) {
       service.routes.push_back(RouteFrom(route));
     }
--- a/packages/config/fleet_config.h
+++ b/packages/config/fleet_config.h
@@ -78,6 +78,9 @@
   std::string service;
   std::uint64_t number = 0;
   Hash128 digest;
+  // Digests of the parts of a document that is too large for one value, in
+  // order; empty when it is published whole.
+  std::vector<Hash128> parts;
 };
 
 // The list of all service documents that together are one configuration.
--- /dev/null
+++ b/packages/control/assembly.cc
@@ -0,0 +1,121 @@
+#include "control/assembly.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillafall {
+namespace {
+
+// Pause after every source has failed to bring a document.
+constexpr std::chrono::milliseconds kPauseBetweenRounds{1000};
+
+}  // namespace
+
+Assembly::Assembly(ConfigVersion version,
+                   Manifest manifest,
+                   std::string manifest_body,
+                   TimePoint now)
+    : version_(version),
+      manifest_(std::move(manifest)),
+      manifest_body_(std::move(manifest_body)),
+      last_progress_(now) {
+  for (const ManifestEntry& entry : manifest_.entries) {
+    for (const DocumentPart& part : PartsOf(entry)) {
+      missing_[part.name].digest = part.digest;
+    }
+  }
+}
+
+void Assembly::Reuse(const DocumentBodies& bodies) {
+  std::erase_if(missing_, [this, &bodies](const auto& each) {
+    const auto held = bodies.find(each.first);
+    if (held == bodies.end() || DigestOf(*held->second) != each.second.digest) {
+      return false;
+    }
+    bodies_[each.first] = held->second;
+    return true;
+  });
+}
+
+void Assembly::AddSource(const ConfigSource& source) {
+  sources_.insert(source);
+}
+
+void Assembly::RemoveSource(const ConfigSource& source) {
+  sources_.erase(source);
+}
+
+std::vector<Assembly::Wanted> Assembly::NextWanted(std::size_t most_in_flight,
+                                                   TimePoint now,
+                                                   std::mt19937_64& random) {
+  std::vector<Wanted> wanted;
+  auto in_flight = static_cast<std::size_t>(std::count_if(
+      missing_.begin(), missing_.end(),
+      [](const auto& each) { return each.second.asked.has_value(); }));
+  for (auto& [name, missing] : missing_) {
+    if (in_flight >= most_in_flight) {
+      break;
+    }
+    if (missing.asked || missing.not_before > now || sources_.empty()) {
+      continue;
+    }
+    std::vector<ConfigSource> untried;
+    std::set_difference(sources_.begin(), sources_.end(), missing.tried.begin(),
+                        missing.tried.end(), std::back_inserter(untried));
+    if (untried.empty()) {
+      missing.tried.clear();
+      missing.not_before = now + kPauseBetweenRounds;
+      continue;
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, untried.size() - 1);
+    missing.asked = untried[draw(random)];
+    wanted.push_back({name, missing.digest, *missing.asked});
+    ++in_flight;
+  }
+  return wanted;
+}
+
+Assembly::Taken Assembly::Take(const std::string& name,
+                               std::string body,
+                               TimePoint now) {
+  const auto found = missing_.find(name);
+  if (found == missing_.end()) {
+    return Taken::kNotWanted;
+  }
+  if (DigestOf(body) != found->second.digest) {
+    return Taken::kDamaged;
+  }
+  bodies_[name] = std::make_shared<const std::string>(std::move(body));
+  missing_.erase(found);
+  last_progress_ = now;
+  return Taken::kGood;
+}
+
+void Assembly::OnMissed(const std::string& name, const ConfigSource& source) {
+  const auto found = missing_.find(name);
+  if (found == missing_.end()) {
+    return;
+  }
+  found->second.tried.insert(source);
+  if (found->second.asked == source) {
+    found->second.asked.reset();
+  }
+}
+
+void Assembly::PutBack(const std::string& name) {
+  const auto found = missing_.find(name);
+  if (found != missing_.end()) {
+    found->second.asked.reset();
+  }
+}
+
+std::vector<std::string> Assembly::GetMissing() const {
+  std::vector<std::string> names;
+  names.reserve(missing_.size());
+  for (const auto& [name, missing] : missing_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+}  // namespace vanillafall
--- a/packages/control/config_keeper.cc
+++ b/packages/control/config_keeper.cc
@@ -4,32 +4,91 @@
 #include <utility>
 
 #include "config/document.h"
+#include "config/instance_list.h"
 
 namespace vanillafall {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
-constexpr milliseconds kProbePeriod{1000};
-constexpr milliseconds kPeerTimeout{2000};
-constexpr milliseconds kWatchWait{30'000};
-constexpr milliseconds kLeastRetryDelay{500};
-constexpr milliseconds kMostRetryDelay{2500};
-constexpr milliseconds kAssemblyTimeout{5000};
+// Exchange between daemons.
+constexpr milliseconds kLeastProbePeriod{900};
+constexpr milliseconds kMostProbePeriod{1100};
+constexpr milliseconds kProbeTimeout{1000};
+constexpr milliseconds kDocumentTimeout{2000};
+// A reply that is this late will not come: the call was lost on the way out.
+constexpr milliseconds kLostCallMargin{1000};
 constexpr std::size_t kPushFanout = 4;
+constexpr std::size_t kMostInFlight = 8;
+
+// Start.
+constexpr milliseconds kStartWait{2000};
+constexpr std::size_t kStartFanout = 4;
+constexpr milliseconds kLeastColdWait{5000};
+constexpr milliseconds kMostColdWait{10'000};
+
+// Assemblies.
+constexpr milliseconds kStallWithNewer{2500};
+constexpr milliseconds kStall{5000};
+constexpr std::size_t kMostLeads = 4;
+constexpr std::size_t kMostSourcesOfLead = 16;
+
+// Platform.
+constexpr milliseconds kWatchWait{20'000};
+constexpr milliseconds kLostWatchMargin{5000};
+constexpr milliseconds kLeastWatchPeriod{100};
+// A watch that ends empty before this time was not waited for.
+constexpr milliseconds kShortWatch{1000};
+constexpr milliseconds kLeastBackoff{500};
+constexpr std::uint32_t kMostBackoffDoublings = 3;
+// One empty watch in so many is followed by a whole read, in case that the
+// platform's revisions have begun anew.
+constexpr std::uint32_t kWatchesUntilWholeRead = 6;
+constexpr double kReadsPerSecond = 100;
+constexpr double kMostReadBurst = 20;
+constexpr milliseconds kReadTimeout{5000};
+constexpr milliseconds kLeastInstancesPeriod{240'000};
+constexpr milliseconds kMostInstancesPeriod{360'000};
+
+// Reports.
+constexpr std::size_t kMostArrivals = 64;
+constexpr std::size_t kMostReported = 256;
+constexpr std::size_t kShownDigits = 8;
+
+std::string Show(const ConfigSource& source) {
+  return source.empty() ? "platform" : source;
+}
+
+std::string Show(const ConfigVersion& version) {
+  return std::to_string(version.number) + "-" +
+         version.digest.ToHex().substr(0, kShownDigits);
+}
 
 }  // namespace
 
 ConfigKeeper::ConfigKeeper(Identity identity)
-    : identity_(std::move(identity)), random_(identity_.seed) {
-  LearnPeers();
+    : identity_(std::move(identity)),
+      random_(identity_.seed),
+      membership_(identity_.self, identity_.data_centre) {
+  membership_.LearnSeeds(identity_.seeds);
 }
 
 void ConfigKeeper::Start(TimePoint now, ControlActions& actions) {
-  next_probe_ = now;
+  start_until_ = now + kStartWait;
+  next_probe_ = now + Draw(milliseconds(0), kMostProbePeriod);
+  cold_read_at_ = now + Draw(kLeastColdWait, kMostColdWait);
+  next_instances_ = now + Draw(kLeastInstancesPeriod, kMostInstancesPeriod);
+  tokens_at_ = now;
+  read_tokens_ = kMostReadBurst;
+  for (const PeerAddress& peer : membership_.Choose(kStartFanout, random_)) {
+    Probe(peer, now, actions);
+  }
   if (identity_.has_platform) {
-    WatchAgain(actions);
+    awaits_instances_ = true;
+    actions.emplace_back(ReadPlatform{kInstancesName});
   }
+  EndStartIfDue(now);
 }
 
 void ConfigKeeper::OnPlatformValue(const std::string& name,
@@ -37,47 +96,42 @@
                                    bool is_reached,
                                    TimePoint now,
                                    ControlActions& actions) {
-  if (is_reached != is_platform_reached_) {
-    is_platform_reached_ = is_reached;
-    const LogEventId id = is_reached ? LogEventId::kPlatformReached
-                                     : LogEventId::kPlatformUnreachable;
-    actions.emplace_back(LogEvent{id, "platform", name});
-  }
-  if (name != kManifestName) {
-    if (value && assembly_ && assembly_->peer.empty()) {
-      TakeDocument(name, value->body, now, actions);
+  NotePlatform(is_reached, name, actions);
+  if (name == kManifestName) {
+    OnWatchEnded(value, is_reached, now, actions);
+  } else if (name == kInstancesName) {
+    if (value) {
+      TakeInstances(value->body, actions);
     }
-    return;
-  }
-  if (value) {
-    platform_revision_ = value->revision;
-    BeginAssembly({}, value->body, now, actions);
-  }
-  if (is_reached) {
-    WatchAgain(actions);
-    return;
+    if (is_starting_ && awaits_instances_) {
+      for (const PeerAddress& peer :
+           membership_.Choose(kStartFanout, random_)) {
+        Probe(peer, now, actions);
+      }
+    }
+    awaits_instances_ = false;
+  } else {
+    open_reads_.erase(name);
+    TakeDocument(name,
+                 value ? std::optional<std::string>(value->body) : std::nullopt,
+                 kFromPlatform, now, actions);
   }
-  std::uniform_int_distribution<std::int64_t> delay(kLeastRetryDelay.count(),
-                                                    kMostRetryDelay.count());
-  watch_at_ = now + milliseconds(delay(random_));
+  EndStartIfDue(now);
+  Pursue(now, actions);
 }
 
 ConfigProbeReply ConfigKeeper::OnProbe(const ConfigProbe& probe,
-                                       TimePoint /*now*/,
+                                       TimePoint now,
                                        ControlActions& actions) {
-  if (probe.manifest_number > manifest_.number && !assembly_) {
-    FetchManifestFrom(probe.sender, actions);
-  }
-  return {manifest_.number};
-}
-
-DocumentReply ConfigKeeper::OnDocumentRequest(
-    const DocumentRequest& request) const {
-  const auto found = bodies_.find(request.name);
-  if (found == bodies_.end()) {
-    return {};
+  if (membership_.OnProbe(probe, now)) {
+    OnVersion(probe.version, probe.sender, now, actions);
+    if (probe.version <= version_ && version_.number != 0) {
+      actions.emplace_back(PeerUpToDate{probe.sender});
+    }
+    Pursue(now, actions);
   }
-  return {found->second};
+  return {version_, identity_.incarnation, identity_.data_centre,
+          is_platform_reached_ || !is_watching_};
 }
 
 void ConfigKeeper::OnPeerReplied(
@@ -86,193 +140,589 @@
     TimePoint now,
     ControlActions& actions) {
   const auto node = calls_.extract(call);
-  const auto* reply = std::get_if<PeerReply>(&result);
-  if (node.empty() || reply == nullptr) {
+  if (node.empty()) {
     return;
   }
   const PeerCall& done = node.mapped();
-  if (const auto* probe = std::get_if<ConfigProbeReply>(reply)) {
-    if (probe->manifest_number > manifest_.number) {
-      FetchManifestFrom(done.peer, actions);
-    } else if (manifest_.number != 0) {
-      actions.emplace_back(PeerUpToDate{done.peer});
+  const auto* reply = std::get_if<PeerReply>(&result);
+  const auto* probe =
+      reply == nullptr ? nullptr : std::get_if<ConfigProbeReply>(reply);
+  const auto* document =
+      reply == nullptr ? nullptr : std::get_if<DocumentReply>(reply);
+  if (done.kind == CallKind::kProbe && probe != nullptr) {
+    OnProbeReplied(done.peer, *probe, now, actions);
+  } else if (done.kind != CallKind::kProbe && document != nullptr) {
+    OnDocumentReplied(done, *document, now, actions);
+  } else {
+    OnCallFailed(done);
+  }
+  EndStartIfDue(now);
+  Pursue(now, actions);
+}
+
+void ConfigKeeper::Advance(TimePoint now, ControlActions& actions) {
+  GiveUpLostCalls(now);
+  EndStartIfDue(now);
+  GiveUpStalledAssembly(now);
+  ProbeEachPeriod(now, actions);
+  WatchIfDue(now, actions);
+  RefreshInstancesIfDue(now, actions);
+  Pursue(now, actions);
+}
+
+DocumentReply ConfigKeeper::OnDocumentRequest(
+    const DocumentRequest& request) const {
+  if (request.name == kInstancesName) {
+    return instances_body_.empty() ? DocumentReply{}
+                                   : DocumentReply{instances_body_};
+  }
+  const auto held = bodies_.find(request.name);
+  const bool is_any = request.digest == Hash128{};
+  if (held != bodies_.end() &&
+      (is_any || DigestOf(*held->second) == request.digest)) {
+    return {*held->second};
+  }
+  if (assembly_ && !is_any) {
+    const auto coming = assembly_->bodies().find(request.name);
+    if (coming != assembly_->bodies().end() &&
+        DigestOf(*coming->second) == request.digest) {
+      return {*coming->second};
     }
+  }
+  return {};
+}
+
+ConfigReport ConfigKeeper::GetReport() const {
+  ConfigReport report;
+  report.version = version_;
+  report.newest = version_;
+  if (!leads_.empty() && leads_.rbegin()->first > version_) {
+    const auto& [version, lead] = *leads_.rbegin();
+    report.newest = version;
+    report.newest_source = lead.first_source;
+    report.lagging_since = leads_.begin()->second.heard;
+  }
+  if (assembly_) {
+    report.missing = assembly_->GetMissing();
+  }
+  report.is_starting = is_starting_;
+  report.is_watching = is_watching_;
+  report.is_platform_reached = is_platform_reached_;
+  report.members = membership_.GetCounts();
+  report.arrivals = {arrivals_.begin(), arrivals_.end()};
+  return report;
+}
+
+void ConfigKeeper::TakeInstances(const std::string& body,
+                                 ControlActions& actions) {
+  const auto instances = DecodeInstances(body);
+  if (!instances) {
+    ReportOnce({LogEventId::kConfigDamaged, kInstancesName,
+                "the list of instances can't be read"},
+               actions);
     return;
   }
-  const auto* document = std::get_if<DocumentReply>(reply);
-  if (document == nullptr || !document->body) {
+  instances_body_ = body;
+  membership_.LearnInstances(*instances);
+}
+
+void ConfigKeeper::OnWatchEnded(const std::optional<PlatformValue>& value,
+                                bool is_reached,
+                                TimePoint now,
+                                ControlActions& actions) {
+  is_watch_open_ = false;
+  const bool was_waited_for = now - watch_began_ >= kShortWatch;
+  if (value) {
+    watch_failures_ = 0;
+    empty_watches_ = 0;
+    platform_revision_ = value->revision;
+    next_watch_ = now + kLeastWatchPeriod;
+    OnManifest(value->body, kFromPlatform, now, actions);
     return;
   }
-  if (done.document == kManifestName) {
-    BeginAssembly(done.peer, *document->body, now, actions);
-  } else {
-    TakeDocument(done.document, *document->body, now, actions);
+  if (is_reached && was_waited_for) {
+    watch_failures_ = 0;
+    next_watch_ = now;
+    if (++empty_watches_ % kWatchesUntilWholeRead == 0) {
+      platform_revision_ = 0;
+    }
+    return;
   }
+  const milliseconds most =
+      kLeastBackoff * (1U << std::min(watch_failures_, kMostBackoffDoublings));
+  next_watch_ = now + Draw(most / 2, most);
+  ++watch_failures_;
 }
 
-void ConfigKeeper::Advance(TimePoint now, ControlActions& actions) {
-  if (watch_at_ && *watch_at_ <= now) {
-    watch_at_.reset();
-    WatchAgain(actions);
+void ConfigKeeper::OnVersion(const ConfigVersion& version,
+                             const ConfigSource& source,
+                             TimePoint now,
+                             ControlActions& actions) {
+  NoteConflict(version, source, actions);
+  if (version <= version_ || refused_ == version) {
+    return;
+  }
+  const auto [found, is_new] = leads_.try_emplace(version);
+  Lead& lead = found->second;
+  if (is_new) {
+    lead.heard = now;
+    lead.first_source = Show(source);
   }
-  if (assembly_ && now - assembly_->started > kAssemblyTimeout) {
-    assembly_.reset();
+  if (lead.sources.size() < kMostSourcesOfLead) {
+    lead.sources.insert(source);
   }
-  if (now >= next_probe_) {
-    next_probe_ = now + kProbePeriod;
-    ProbeSome(1, actions);
+  if (assembly_ && assembly_->version() == version) {
+    assembly_->AddSource(source);
+  }
+  while (leads_.size() > kMostLeads) {
+    leads_.erase(leads_.begin());
   }
 }
 
-void ConfigKeeper::BeginAssembly(const PeerAddress& peer,
-                                 const std::string& manifest_body,
-                                 TimePoint now,
-                                 ControlActions& actions) {
-  const std::optional<Manifest> manifest = DecodeManifest(manifest_body);
-  const std::string source = peer.empty() ? "platform" : peer;
+void ConfigKeeper::OnManifest(const std::string& body,
+                              const ConfigSource& source,
+                              TimePoint now,
+                              ControlActions& actions) {
+  const std::optional<Manifest> manifest = DecodeManifest(body);
   if (!manifest) {
-    actions.emplace_back(LogEvent{LogEventId::kConfigDamaged, source,
-                                  "the manifest can't be read"});
+    ReportOnce({LogEventId::kConfigDamaged, Show(source),
+                "the manifest can't be read"},
+               actions);
     return;
   }
-  if (manifest->number < manifest_.number) {
-    actions.emplace_back(LogEvent{LogEventId::kConfigRefusedOlder, source,
-                                  "number " + std::to_string(manifest->number) +
-                                      " after " +
-                                      std::to_string(manifest_.number)});
+  const ConfigVersion version{manifest->number, DigestOf(body)};
+  if (version.number < version_.number) {
+    ReportOnce({LogEventId::kConfigRefusedOlder, Show(source),
+                Show(version) + " after " + Show(version_)},
+               actions);
   }
-  const bool is_newer =
-      manifest->number > manifest_.number &&
-      (!assembly_ || manifest->number > assembly_->manifest.number);
-  if (!is_newer) {
-    return;
+  OnVersion(version, source, now, actions);
+  const auto lead = leads_.find(version);
+  if (lead != leads_.end()) {
+    lead->second.manifest_body = body;
   }
-  Assembly assembly;
-  assembly.peer = peer;
-  assembly.manifest = *manifest;
-  assembly.manifest_body = manifest_body;
-  assembly.started = now;
-  for (const ManifestEntry& entry : manifest->entries) {
-    const std::string name = ServiceDocumentName(entry.service);
-    const auto held = bodies_.find(name);
-    if (held != bodies_.end() && DigestOf(held->second) == entry.digest) {
-      assembly.bodies[name] = held->second;
-    } else {
-      assembly.missing.insert(name);
+}
+
+void ConfigKeeper::OnProbeReplied(const PeerAddress& peer,
+                                  const ConfigProbeReply& reply,
+                                  TimePoint now,
+                                  ControlActions& actions) {
+  membership_.OnReply(peer, reply, now);
+  OnVersion(reply.version, peer, now, actions);
+  if (reply.version <= version_ && version_.number != 0) {
+    actions.emplace_back(PeerUpToDate{peer});
+  }
+}
+
+void ConfigKeeper::OnDocumentReplied(const PeerCall& call,
+                                     const DocumentReply& reply,
+                                     TimePoint now,
+                                     ControlActions& actions) {
+  if (call.kind == CallKind::kInstances) {
+    if (reply.body) {
+      TakeInstances(*reply.body, actions);
     }
+    return;
+  }
+  if (call.kind == CallKind::kDocument) {
+    TakeDocument(call.document, reply.body, call.peer, now, actions);
+    return;
+  }
+  if (reply.body && DigestOf(*reply.body) == call.version.digest) {
+    OnManifest(*reply.body, call.peer, now, actions);
+    return;
   }
-  assembly_ = std::move(assembly);
-  for (const std::string& name : assembly_->missing) {
-    Fetch(peer, name, actions);
+  if (reply.body) {
+    ReportOnce({LogEventId::kConfigDamaged, call.peer,
+                "the manifest's digest differs"},
+               actions);
+  }
+  // The peer has moved on or is wrong; what does it hold now?
+  OnCallFailed(call);
+  Probe(call.peer, now, actions);
+}
+
+void ConfigKeeper::OnCallFailed(const PeerCall& call) {
+  if (call.kind == CallKind::kProbe) {
+    membership_.OnFailure(call.peer);
+  } else if (call.kind == CallKind::kManifest) {
+    const auto lead = leads_.find(call.version);
+    if (lead != leads_.end()) {
+      lead->second.sources.erase(call.peer);
+    }
+  } else if (call.kind == CallKind::kDocument && assembly_) {
+    assembly_->OnMissed(call.document, call.peer);
   }
-  Complete(now, actions);
 }
 
 void ConfigKeeper::TakeDocument(const std::string& name,
-                                const std::string& body,
+                                const std::optional<std::string>& body,
+                                const ConfigSource& source,
                                 TimePoint now,
                                 ControlActions& actions) {
-  if (!assembly_ || !assembly_->missing.contains(name)) {
+  if (!assembly_) {
     return;
   }
-  const auto& entries = assembly_->manifest.entries;
-  const auto entry = std::find_if(
-      entries.begin(), entries.end(), [&name](const ManifestEntry& each) {
-        return ServiceDocumentName(each.service) == name;
-      });
-  if (entry == entries.end() || DigestOf(body) != entry->digest) {
-    actions.emplace_back(
-        LogEvent{LogEventId::kConfigDamaged, name, "its digest differs"});
+  const Assembly::Taken taken =
+      body ? assembly_->Take(name, *body, now) : Assembly::Taken::kDamaged;
+  if (taken != Assembly::Taken::kDamaged) {
     return;
   }
-  assembly_->missing.erase(name);
-  assembly_->bodies[name] = body;
-  Complete(now, actions);
+  assembly_->OnMissed(name, source);
+  // Peers answer a request for a digest that they don't hold with nothing;
+  // the platform knows no digests.
+  if (body || source == kFromPlatform) {
+    ReportOnce({LogEventId::kConfigDamaged, name,
+                (body ? "its digest differs, from " : "it is missing, from ") +
+                    Show(source)},
+               actions);
+  }
 }
 
-void ConfigKeeper::Complete(TimePoint /*now*/, ControlActions& actions) {
-  if (!assembly_->missing.empty()) {
+void ConfigKeeper::EndStartIfDue(TimePoint now) {
+  if (!is_starting_) {
     return;
   }
-  Assembly whole = std::move(*assembly_);
-  assembly_.reset();
-  PutManifestInForce(std::move(whole), actions);
-}
-
-void ConfigKeeper::PutManifestInForce(Assembly assembly,
-                                      ControlActions& actions) {
-  auto config = std::make_shared<FleetConfig>();
-  config->manifest_number = assembly.manifest.number;
-  for (const auto& [name, body] : assembly.bodies) {
-    const std::optional<ServiceConfig> service = DecodeService(body);
-    if (!service) {
-      actions.emplace_back(
-          LogEvent{LogEventId::kConfigDamaged, name, "it can't be read"});
+  const bool is_heard =
+      !awaits_instances_ &&
+      std::none_of(calls_.begin(), calls_.end(), [](const auto& each) {
+        return each.second.kind == CallKind::kProbe;
+      });
+  if (is_heard || now >= start_until_) {
+    is_starting_ = false;
+    next_watch_ = now;
+  }
+}
+
+void ConfigKeeper::Pursue(TimePoint now, ControlActions& actions) {
+  if (is_starting_) {
+    return;
+  }
+  // Completing one may uncover the next.
+  while (true) {
+    if (!assembly_) {
+      PursueBestLead(now, actions);
+    }
+    if (!assembly_) {
       return;
     }
-    config->services[service->name] = *service;
-  }
-  manifest_ = std::move(assembly.manifest);
-  bodies_ = std::move(assembly.bodies);
-  bodies_[kManifestName] = std::move(assembly.manifest_body);
-  LearnPeers();
-  for (const auto& [name, service] : config->services) {
-    for (const PeerAddress& owner : service.Owners()) {
-      peers_.push_back(owner);
+    if (!assembly_->IsComplete()) {
+      AskForDocuments(now, actions);
+      return;
     }
+    CompleteAssembly(now, actions);
+  }
+}
+
+void ConfigKeeper::PursueBestLead(TimePoint now, ControlActions& actions) {
+  std::erase_if(leads_, [this](const auto& each) {
+    return each.first <= version_ ||
+           (each.second.sources.empty() && each.second.manifest_body.empty());
+  });
+  for (auto each = leads_.rbegin(); each != leads_.rend(); ++each) {
+    const ConfigVersion& version = each->first;
+    const Lead& lead = each->second;
+    if (lead.not_before > now) {
+      continue;
+    }
+    if (!lead.manifest_body.empty()) {
+      BeginAssembly(version, lead, now);
+      return;
+    }
+    const bool is_asked =
+        std::any_of(calls_.begin(), calls_.end(), [&](const auto& call) {
+          return call.second.kind == CallKind::kManifest &&
+                 call.second.version == version;
+        });
+    if (!is_asked) {
+      std::vector<ConfigSource> source;
+      std::sample(lead.sources.begin(), lead.sources.end(),
+                  std::back_inserter(source), 1, random_);
+      AskDocument({CallKind::kManifest, source.front(), kManifestName, version,
+                   now + kDocumentTimeout + kLostCallMargin},
+                  version.digest, actions);
+    }
+    return;
+  }
+}
+
+void ConfigKeeper::BeginAssembly(const ConfigVersion& version,
+                                 const Lead& lead,
+                                 TimePoint now) {
+  // It was decoded when it came.
+  Manifest manifest = DecodeManifest(lead.manifest_body).value_or(Manifest{});
+  assembly_.emplace(version, std::move(manifest), lead.manifest_body, now);
+  assembly_->Reuse(bodies_);
+  assembly_->Reuse(spare_bodies_);
+  spare_bodies_.clear();
+  for (const ConfigSource& source : lead.sources) {
+    assembly_->AddSource(source);
+  }
+  if (is_watching_ && lead.sources.empty()) {
+    assembly_->AddSource(kFromPlatform);
+  }
+}
+
+void ConfigKeeper::AskForDocuments(TimePoint now, ControlActions& actions) {
+  const std::chrono::duration<double> passed = now - tokens_at_;
+  tokens_at_ = now;
+  read_tokens_ =
+      std::min(kMostReadBurst, read_tokens_ + passed.count() * kReadsPerSecond);
+  for (const Assembly::Wanted& wanted :
+       assembly_->NextWanted(kMostInFlight, now, random_)) {
+    if (wanted.source != kFromPlatform) {
+      AskDocument(
+          {CallKind::kDocument, wanted.source, wanted.name,
+           assembly_->version(), now + kDocumentTimeout + kLostCallMargin},
+          wanted.digest, actions);
+    } else if (read_tokens_ >= 1 && !open_reads_.contains(wanted.name)) {
+      read_tokens_ -= 1;
+      open_reads_[wanted.name] = now + kReadTimeout;
+      actions.emplace_back(ReadPlatform{wanted.name});
+    } else {
+      assembly_->PutBack(wanted.name);
+    }
+  }
+}
+
+void ConfigKeeper::CompleteAssembly(TimePoint now, ControlActions& actions) {
+  const Assembly whole = std::move(*assembly_);
+  assembly_.reset();
+  std::optional<FleetConfig> config = BuildConfig(whole, actions);
+  if (!config) {
+    refused_ = whole.version();
+    leads_.erase(whole.version());
+    return;
+  }
+  const auto lead = leads_.find(whole.version());
+  const std::string source =
+      lead == leads_.end() ? "" : lead->second.first_source;
+  const TimePoint heard = lead == leads_.end() ? now : lead->second.heard;
+  version_ = whole.version();
+  manifest_ = whole.manifest();
+  bodies_ = whole.bodies();
+  bodies_[kManifestName] =
+      std::make_shared<const std::string>(whole.manifest_body());
+  config_ = std::make_shared<FleetConfig>(std::move(*config));
+  membership_.LearnOwners(*config_);
+  leads_.erase(leads_.begin(), leads_.upper_bound(version_));
+  reported_.clear();
+  arrivals_.push_back({version_, source, heard, now});
+  if (arrivals_.size() > kMostArrivals) {
+    arrivals_.pop_front();
   }
-  std::sort(peers_.begin(), peers_.end());
-  peers_.erase(std::unique(peers_.begin(), peers_.end()), peers_.end());
-  std::erase(peers_, identity_.self);
   actions.emplace_back(
-      LogEvent{LogEventId::kConfigInForce, std::to_string(manifest_.number),
-               "from " + (assembly.peer.empty() ? "platform" : assembly.peer)});
-  actions.emplace_back(PutInForce{std::move(config)});
-  ProbeSome(kPushFanout, actions);
+      LogEvent{LogEventId::kConfigInForce, Show(version_), "from " + source});
+  actions.emplace_back(PutInForce{config_});
+  for (const PeerAddress& peer : membership_.Choose(kPushFanout, random_)) {
+    Probe(peer, now, actions);
+  }
 }
 
-void ConfigKeeper::FetchManifestFrom(const PeerAddress& peer,
-                                     ControlActions& actions) {
-  Fetch(peer, kManifestName, actions);
+std::optional<FleetConfig> ConfigKeeper::BuildConfig(const Assembly& assembly,
+                                                     ControlActions& actions) {
+  FleetConfig config;
+  config.manifest_number = assembly.version().number;
+  std::map<std::string_view, const ManifestEntry*> held;
+  for (const ManifestEntry& entry : manifest_.entries) {
+    held[entry.service] = &entry;
+  }
+  for (const ManifestEntry& entry : assembly.manifest().entries) {
+    const auto before = held.find(entry.service);
+    if (before != held.end() && before->second->digest == entry.digest) {
+      config.services[entry.service] = config_->services.at(entry.service);
+      continue;
+    }
+    std::string body;
+    for (const DocumentPart& part : PartsOf(entry)) {
+      body += *assembly.bodies().at(part.name);
+    }
+    std::optional<ServiceConfig> service = DecodeService(body);
+    if (!service || DigestOf(body) != entry.digest ||
+        service->name != entry.service || service->number != entry.number) {
+      ReportOnce(
+          {LogEventId::kConfigDamaged, ServiceDocumentName(entry.service),
+           "it can't be read or differs from its entry; " +
+               Show(assembly.version()) + " is refused"},
+          actions);
+      return std::nullopt;
+    }
+    config.services[entry.service] = std::move(*service);
+  }
+  return config;
 }
 
-void ConfigKeeper::Fetch(const PeerAddress& peer,
-                         const std::string& name,
-                         ControlActions& actions) {
-  if (peer.empty()) {
-    actions.emplace_back(ReadPlatform{name});
+void ConfigKeeper::GiveUpStalledAssembly(TimePoint now) {
+  if (!assembly_) {
+    return;
+  }
+  const auto can_replace = [this, now](const auto& each) {
+    return each.first != assembly_->version() && each.first > version_ &&
+           each.second.not_before <= now;
+  };
+  const bool has_other = std::any_of(leads_.begin(), leads_.end(), can_replace);
+  const bool has_newer = std::any_of(leads_.upper_bound(assembly_->version()),
+                                     leads_.end(), can_replace);
+  const Duration stalled = now - assembly_->last_progress();
+  if (!(has_newer && stalled > kStallWithNewer) &&
+      !(has_other && stalled > kStall)) {
     return;
   }
+  const auto lead = leads_.find(assembly_->version());
+  if (lead != leads_.end()) {
+    lead->second.not_before = now + kStall;
+  }
+  spare_bodies_ = assembly_->bodies();
+  assembly_.reset();
+}
+
+void ConfigKeeper::Probe(const PeerAddress& peer,
+                         TimePoint now,
+                         ControlActions& actions) {
   const PeerCallId call = ++last_call_;
-  calls_[call] = {peer, name};
+  calls_[call] = {
+      CallKind::kProbe, peer, {}, {}, now + kProbeTimeout + kLostCallMargin};
   actions.emplace_back(
-      AskPeer{call, peer, DocumentRequest{name, 0}, kPeerTimeout});
+      AskPeer{call, peer,
+              ConfigProbe{version_, identity_.self, identity_.incarnation,
+                          identity_.data_centre},
+              kProbeTimeout});
 }
 
-void ConfigKeeper::Probe(const PeerAddress& peer, ControlActions& actions) {
-  const PeerCallId call = ++last_call_;
-  calls_[call] = {peer, {}};
+void ConfigKeeper::ProbeEachPeriod(TimePoint now, ControlActions& actions) {
+  if (now < next_probe_) {
+    return;
+  }
+  next_probe_ = now + Draw(kLeastProbePeriod, kMostProbePeriod);
+  membership_.Expire(now);
+  std::set<PeerAddress> peers;
+  for (PeerAddress& peer : membership_.Choose(1, random_)) {
+    peers.insert(std::move(peer));
+  }
+  for (PeerAddress& peer : membership_.GetMonitored(random_)) {
+    peers.insert(std::move(peer));
+  }
+  PeerAddress fellow = membership_.ChooseUnheardFellow(random_);
+  if (!fellow.empty()) {
+    peers.insert(std::move(fellow));
+  }
+  for (const PeerAddress& peer : peers) {
+    Probe(peer, now, actions);
+  }
+}
+
+void ConfigKeeper::AskDocument(PeerCall call,
+                               const Hash128& digest,
+                               ControlActions& actions) {
+  const PeerCallId id = ++last_call_;
   actions.emplace_back(AskPeer{
-      call, peer, ConfigProbe{manifest_.number, identity_.self}, kPeerTimeout});
+      id, call.peer, DocumentRequest{call.document, digest}, kDocumentTimeout});
+  calls_[id] = std::move(call);
 }
 
-void ConfigKeeper::ProbeSome(std::size_t count, ControlActions& actions) {
-  std::vector<PeerAddress> chosen;
-  std::sample(peers_.begin(), peers_.end(), std::back_inserter(chosen), count,
-              random_);
-  for (const PeerAddress& peer : chosen) {
-    Probe(peer, actions);
+void ConfigKeeper::GiveUpLostCalls(TimePoint now) {
+  for (auto call = calls_.begin(); call != calls_.end();) {
+    if (call->second.given_up > now) {
+      ++call;
+      continue;
+    }
+    const PeerCall lost = std::move(call->second);
+    call = calls_.erase(call);
+    OnCallFailed(lost);
+  }
+  for (auto read = open_reads_.begin(); read != open_reads_.end();) {
+    if (read->second > now) {
+      ++read;
+      continue;
+    }
+    if (assembly_) {
+      assembly_->OnMissed(read->first, kFromPlatform);
+    }
+    read = open_reads_.erase(read);
+  }
+  if (is_watch_open_ && now >= watch_given_up_) {
+    is_watch_open_ = false;
   }
 }
 
-void ConfigKeeper::WatchAgain(ControlActions& actions) {
-  actions.emplace_back(
-      WatchPlatform{kManifestName, platform_revision_, kWatchWait});
+void ConfigKeeper::WatchIfDue(TimePoint now, ControlActions& actions) {
+  if (!identity_.has_platform || is_starting_) {
+    return;
+  }
+  is_watching_ = membership_.ShouldWatch();
+  if (is_watch_open_) {
+    return;
+  }
+  const bool is_cold = version_.number == 0 && now >= cold_read_at_;
+  if (is_watching_ ? now < next_watch_ : !is_cold) {
+    return;
+  }
+  cold_read_at_ = now + Draw(kLeastColdWait, kMostColdWait);
+  const milliseconds wait = is_watching_ ? kWatchWait : milliseconds(0);
+  is_watch_open_ = true;
+  watch_began_ = now;
+  watch_given_up_ = now + wait + kLostWatchMargin;
+  actions.emplace_back(WatchPlatform{
+      kManifestName, is_watching_ ? platform_revision_ : 0, wait});
+}
+
+void ConfigKeeper::RefreshInstancesIfDue(TimePoint now,
+                                         ControlActions& actions) {
+  if (now < next_instances_) {
+    return;
+  }
+  next_instances_ = now + Draw(kLeastInstancesPeriod, kMostInstancesPeriod);
+  if (is_watching_) {
+    actions.emplace_back(ReadPlatform{kInstancesName});
+    return;
+  }
+  for (const PeerAddress& peer : membership_.Choose(1, random_)) {
+    AskDocument({CallKind::kInstances,
+                 peer,
+                 kInstancesName,
+                 {},
+                 now + kDocumentTimeout + kLostCallMargin},
+                Hash128{}, actions);
+  }
+}
+
+void ConfigKeeper::NotePlatform(bool is_reached,
+                                const std::string& name,
+                                ControlActions& actions) {
+  if (is_reached == is_platform_reached_) {
+    return;
+  }
+  is_platform_reached_ = is_reached;
+  const LogEventId id = is_reached ? LogEventId::kPlatformReached
+                                   : LogEventId::kPlatformUnreachable;
+  actions.emplace_back(LogEvent{id, "platform", name});
+}
+
+void ConfigKeeper::NoteConflict(const ConfigVersion& other,
+                                const ConfigSource& source,
+                                ControlActions& actions) {
+  if (other.number != version_.number || other.digest == version_.digest) {
+    return;
+  }
+  const ConfigVersion& winner = std::max(other, version_);
+  ReportOnce({LogEventId::kConfigConflict, std::to_string(other.number),
+              Show(version_) + " in force, " + Show(other) + " from " +
+                  Show(source) + "; " + Show(winner) + " stays"},
+             actions);
+}
+
+void ConfigKeeper::ReportOnce(LogEvent event, ControlActions& actions) {
+  const std::string key = std::to_string(static_cast<int>(event.id)) + " " +
+                          event.subject + " " + event.detail;
+  if (reported_.size() < kMostReported && reported_.insert(key).second) {
+    actions.emplace_back(std::move(event));
+  }
 }
 
-void ConfigKeeper::LearnPeers() {
-  peers_ = identity_.seeds;
-  std::erase(peers_, identity_.self);
+milliseconds ConfigKeeper::Draw(milliseconds least, milliseconds most) {
+  std::uniform_int_distribution<milliseconds::rep> draw(least.count(),
+                                                        most.count());
+  return milliseconds(draw(random_));
 }
 
 }  // namespace vanillafall
--- a/packages/control/config_keeper.h
+++ b/packages/control/config_keeper.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -15,6 +16,9 @@
 #include "base/clock.h"
 #include "base/log_event.h"
 #include "config/fleet_config.h"
+#include "control/assembly.h"
+#include "control/config_report.h"
+#include "control/membership.h"
 #include "decision/event.h"
 #include "message/peer.h"
 
@@ -53,7 +57,12 @@
 
 // Keeps one daemon's configuration: takes whole, numbered publications from
 // the platform or from peers, never an older one after a newer one, and tells
-// peers of news. One thread owns it.
+// peers of news. docs/design/configuration.md gives the rules.
+//
+// Commands take the present time and append what is to be done. Each
+// ReadPlatform and WatchPlatform is answered by one OnPlatformValue, each
+// AskPeer by one OnPeerReplied; an answer that never comes is given up after a
+// while. Call Advance at least every 100 ms. One thread owns a keeper.
 class ConfigKeeper {
  public:
   struct Identity {
@@ -63,10 +72,16 @@
     std::vector<PeerAddress> seeds;
     bool has_platform = false;
     std::uint64_t seed = 0;
+    // Tells this process from others before and after it at the address.
+    std::uint64_t incarnation = 0;
   };
 
   explicit ConfigKeeper(Identity identity);
+  ConfigKeeper(const ConfigKeeper&) = delete;
+  ConfigKeeper& operator=(const ConfigKeeper&) = delete;
 
+  // Call once, first. Until peers have answered, or a bounded wait is over,
+  // nothing is put in force.
   void Start(TimePoint now, ControlActions& actions);
   // A read or watch has ended; no value when there is none.
   void OnPlatformValue(const std::string& name,
@@ -77,63 +92,149 @@
   ConfigProbeReply OnProbe(const ConfigProbe& probe,
                            TimePoint now,
                            ControlActions& actions);
-  DocumentReply OnDocumentRequest(const DocumentRequest& request) const;
   void OnPeerReplied(PeerCallId call,
                      const std::variant<PeerReply, PeerFailure>& result,
                      TimePoint now,
                      ControlActions& actions);
   void Advance(TimePoint now, ControlActions& actions);
 
-  std::uint64_t manifest_number() const { return manifest_.number; }
+  DocumentReply OnDocumentRequest(const DocumentRequest& request) const;
+  std::uint64_t manifest_number() const { return version_.number; }
+  const ConfigVersion& version() const { return version_; }
+  ConfigReport GetReport() const;
 
  private:
-  // A publication that is being fetched, from a peer or, with an empty peer,
-  // from the platform.
-  struct Assembly {
-    PeerAddress peer;
-    Manifest manifest;
+  // A version that somebody holds and this daemon does not.
+  struct Lead {
+    TimePoint heard;
+    std::string first_source;
+    std::set<ConfigSource> sources;
+    // The manifest itself, when it has already come.
     std::string manifest_body;
-    std::map<std::string, std::string, std::less<>> bodies;
-    std::set<std::string> missing;
-    TimePoint started;
+    // It stalled; others go first until then.
+    TimePoint not_before;
+  };
+  enum class CallKind : std::uint8_t {
+    kProbe,
+    kManifest,
+    kDocument,
+    kInstances
   };
   struct PeerCall {
+    CallKind kind = CallKind::kProbe;
     PeerAddress peer;
-    // Document asked for; empty for a probe.
     std::string document;
+    ConfigVersion version;
+    TimePoint given_up;
   };
 
-  void BeginAssembly(const PeerAddress& peer,
-                     const std::string& manifest_body,
-                     TimePoint now,
-                     ControlActions& actions);
+  // What platform and peers say.
+  void TakeInstances(const std::string& body, ControlActions& actions);
+  void OnWatchEnded(const std::optional<PlatformValue>& value,
+                    bool is_reached,
+                    TimePoint now,
+                    ControlActions& actions);
+  void OnVersion(const ConfigVersion& version,
+                 const ConfigSource& source,
+                 TimePoint now,
+                 ControlActions& actions);
+  void OnManifest(const std::string& body,
+                  const ConfigSource& source,
+                  TimePoint now,
+                  ControlActions& actions);
+  void OnProbeReplied(const PeerAddress& peer,
+                      const ConfigProbeReply& reply,
+                      TimePoint now,
+                      ControlActions& actions);
+  void OnDocumentReplied(const PeerCall& call,
+                         const DocumentReply& reply,
+                         TimePoint now,
+                         ControlActions& actions);
+  void OnCallFailed(const PeerCall& call);
   void TakeDocument(const std::string& name,
-                    const std::string& body,
+                    const std::optional<std::string>& body,
+                    const ConfigSource& source,
                     TimePoint now,
                     ControlActions& actions);
-  void Complete(TimePoint now, ControlActions& actions);
-  void PutManifestInForce(Assembly assembly, ControlActions& actions);
-  void FetchManifestFrom(const PeerAddress& peer, ControlActions& actions);
-  void Fetch(const PeerAddress& peer,
-             const std::string& name,
-             ControlActions& actions);
-  void Probe(const PeerAddress& peer, ControlActions& actions);
-  void ProbeSome(std::size_t count, ControlActions& actions);
-  void WatchAgain(ControlActions& actions);
-  void LearnPeers();
+
+  // Towards the best version that is known of.
+  void EndStartIfDue(TimePoint now);
+  void Pursue(TimePoint now, ControlActions& actions);
+  void PursueBestLead(TimePoint now, ControlActions& actions);
+  void BeginAssembly(const ConfigVersion& version,
+                     const Lead& lead,
+                     TimePoint now);
+  void AskForDocuments(TimePoint now, ControlActions& actions);
+  void CompleteAssembly(TimePoint now, ControlActions& actions);
+  std::optional<FleetConfig> BuildConfig(const Assembly& assembly,
+                                         ControlActions& actions);
+  void GiveUpStalledAssembly(TimePoint now);
+
+  // Exchange with others.
+  void Probe(const PeerAddress& peer, TimePoint now, ControlActions& actions);
+  void ProbeEachPeriod(TimePoint now, ControlActions& actions);
+  void AskDocument(PeerCall call,
+                   const Hash128& digest,
+                   ControlActions& actions);
+  void GiveUpLostCalls(TimePoint now);
+  void WatchIfDue(TimePoint now, ControlActions& actions);
+  void RefreshInstancesIfDue(TimePoint now, ControlActions& actions);
+
+  void NotePlatform(bool is_reached,
+                    const std::string& name,
+                    ControlActions& actions);
+  void NoteConflict(const ConfigVersion& other,
+                    const ConfigSource& source,
+                    ControlActions& actions);
+  // Logs the event once for each configuration in force.
+  void ReportOnce(LogEvent event, ControlActions& actions);
+  std::chrono::milliseconds Draw(std::chrono::milliseconds least,
+                                 std::chrono::milliseconds most);
 
   const Identity identity_;
   std::mt19937_64 random_;
-  PeerCallId last_call_ = 0;
+  Membership membership_;
+
+  // In force.
+  ConfigVersion version_;
   Manifest manifest_;
-  std::map<std::string, std::string, std::less<>> bodies_;
+  DocumentBodies bodies_;
+  FleetConfigPtr config_;
+  std::deque<ConfigArrival> arrivals_;
+
+  // On the way.
+  std::map<ConfigVersion, Lead> leads_;
   std::optional<Assembly> assembly_;
-  std::vector<PeerAddress> peers_;
+  // What a stalled assembly had gathered.
+  DocumentBodies spare_bodies_;
+  // A publication with a document that can't be read.
+  std::optional<ConfigVersion> refused_;
+  std::set<std::string> reported_;
+
+  // Calls.
+  PeerCallId last_call_ = 0;
   std::unordered_map<PeerCallId, PeerCall> calls_;
-  std::uint64_t platform_revision_ = 0;
-  bool is_platform_reached_ = true;
-  std::optional<TimePoint> watch_at_;
   TimePoint next_probe_;
+  bool is_starting_ = true;
+  TimePoint start_until_;
+  bool awaits_instances_ = false;
+  TimePoint next_instances_;
+
+  // Platform.
+  std::string instances_body_;
+  bool is_watching_ = false;
+  bool is_platform_reached_ = true;
+  bool is_watch_open_ = false;
+  TimePoint watch_given_up_;
+  TimePoint watch_began_;
+  TimePoint next_watch_;
+  TimePoint cold_read_at_;
+  std::uint32_t watch_failures_ = 0;
+  std::uint32_t empty_watches_ = 0;
+  std::uint64_t platform_revision_ = 0;
+  double read_tokens_ = 0;
+  TimePoint tokens_at_;
+  std::map<std::string, TimePoint> open_reads_;
 };
 
 }  // namespace vanillafall
--- a/packages/daemon/control_thread.cc
+++ b/packages/daemon/control_thread.cc
@@ -42,16 +42,28 @@
   return is_taken;
 }
 
+ConfigReport ControlThread::GetReport() const {
+  const std::lock_guard lock(keeper_mutex_);
+  return keeper_.GetReport();
+}
+
 void ControlThread::Run() {
   ControlActions actions;
-  keeper_.Start(clock_.now(), actions);
+  {
+    const std::lock_guard lock(keeper_mutex_);
+    keeper_.Start(clock_.now(), actions);
+  }
+  CarryAll(actions);
   while (!is_stopping_) {
     wake_.Clear();
     while (const auto message = ring_.TryPop()) {
       Handle(*message, clock_.now(), actions);
       CarryAll(actions);
     }
-    keeper_.Advance(clock_.now(), actions);
+    {
+      const std::lock_guard lock(keeper_mutex_);
+      keeper_.Advance(clock_.now(), actions);
+    }
     CarryAll(actions);
     pollfd waiting{wake_.fd(), POLLIN, 0};
     poll(&waiting, 1, kPeriodMilliseconds);
@@ -61,6 +73,7 @@
 void ControlThread::Handle(const Message& message,
                            TimePoint now,
                            ControlActions& actions) {
+  const std::lock_guard lock(keeper_mutex_);
   if (const auto* answer = std::get_if<PlatformAnswer>(&message)) {
     keeper_.OnPlatformValue(answer->name, answer->value, answer->is_reached,
                             now, actions);
--- a/packages/daemon/control_thread.h
+++ b/packages/daemon/control_thread.h
@@ -2,6 +2,7 @@
 #define DAEMON_CONTROL_THREAD_H_
 
 #include <atomic>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -46,6 +47,9 @@
   // recovers by its own timeouts.
   bool Push(Message message);
 
+  // What the keeper knows, from any thread.
+  ConfigReport GetReport() const;
+
  private:
   void Run();
   void Handle(const Message& message, TimePoint now, ControlActions& actions);
@@ -54,6 +58,9 @@
 
   const Clock& clock_;
   Carrier& carrier_;
+  // Guards the keeper against GetReport; the control thread holds it while it
+  // decides, and no other thread does more than copy.
+  mutable std::mutex keeper_mutex_;
   ConfigKeeper keeper_;
   BoundedRing<Message> ring_;
   WakeFd wake_;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "daemon/config_page.h"
 #include "daemon/operator_pages.h"
 
 namespace vanillafall {
@@ -40,6 +41,7 @@
           settings.data_centre,
           settings.seeds,
           !settings.platform_address.empty(),
+          DrawNumber(),
           DrawNumber()};
 }
 
@@ -200,7 +202,8 @@
         if (path == "/status") {
           page = MakeStatusPage(engine, settings_, now);
         } else if (path == "/config") {
-          page = MakeConfigPage(engine, settings_);
+          page = MakeConfigPage(control_.GetReport(), engine.config(),
+                                settings_, now);
         } else if (path == "/explain") {
           page = MakeExplainPage(engine, subject, now);
         }
--- a/packages/daemon/operator_pages.cc
+++ b/packages/daemon/operator_pages.cc
@@ -57,19 +57,6 @@
                    {"backend_servers", servers}});
 }
 
-OperatorServer::Page MakeConfigPage(const Engine& engine,
-                                    const Settings& settings) {
-  json services = json::array();
-  if (engine.config() != nullptr) {
-    for (const auto& [name, service] : engine.config()->services) {
-      services.push_back({{"service", name}, {"number", service.number}});
-    }
-  }
-  return JsonPage({{"instance", settings.instance},
-                   {"manifest_number", engine.manifest_number()},
-                   {"services", services}});
-}
-
 OperatorServer::Page MakeExplainPage(const Engine& engine,
                                      const std::string& subject,
                                      TimePoint now) {
--- a/packages/daemon/operator_pages.h
+++ b/packages/daemon/operator_pages.h
@@ -17,9 +17,6 @@
 OperatorServer::Page MakeStatusPage(const Engine& engine,
                                     const Settings& settings,
                                     TimePoint now);
-// The configuration in force.
-OperatorServer::Page MakeConfigPage(const Engine& engine,
-                                    const Settings& settings);
 // What the daemon knows of one backend server, route, tenant or service.
 OperatorServer::Page MakeExplainPage(const Engine& engine,
                                      const std::string& subject,
--- a/packages/message/peer.h
+++ b/packages/message/peer.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -174,21 +175,51 @@
 
 struct CrashReply {};
 
-// Any daemon to any: which manifest do you hold? Carries the sender's number,
-// so that one exchange informs both.
+// Version of a configuration. The greater number is the newer one; between
+// two publications of one number the greater digest wins, so that all daemons
+// settle on the same one without being told.
+struct ConfigVersion {
+  std::uint64_t number = 0;
+  // Digest of the manifest's bytes.
+  Hash128 digest;
+
+  friend bool operator==(const ConfigVersion&, const ConfigVersion&) = default;
+  friend bool operator<(const ConfigVersion& a, const ConfigVersion& b) {
+    return std::tie(a.number, a.digest.high, a.digest.low) <
+           std::tie(b.number, b.digest.high, b.digest.low);
+  }
+  friend bool operator>(const ConfigVersion& a, const ConfigVersion& b) {
+    return b < a;
+  }
+  friend bool operator<=(const ConfigVersion& a, const ConfigVersion& b) {
+    return !(b < a);
+  }
+};
+
+// Any daemon to any: which configuration do you hold? Carries the sender's, so
+// that one exchange informs both.
 struct ConfigProbe {
-  std::uint64_t manifest_number = 0;
+  ConfigVersion version;
   PeerAddress sender;
+  // Drawn at the sender's start; another one at the same address is another
+  // process.
+  std::uint64_t incarnation = 0;
+  std::string data_centre;
 };
 
 struct ConfigProbeReply {
-  std::uint64_t manifest_number = 0;
+  ConfigVersion version;
+  std::uint64_t incarnation = 0;
+  std::string data_centre;
+  // False when the replier watches the platform and cannot reach it.
+  bool is_platform_reached = true;
 };
 
 // Any daemon to any: send me this published document.
 struct DocumentRequest {
   std::string name;
-  std::uint64_t number = 0;
+  // Digest of the bytes that are wanted; all zero for those in force.
+  Hash128 digest;
 };
 
 struct DocumentReply {
--- a/packages/operator/bundle.cc
+++ b/packages/operator/bundle.cc
@@ -46,7 +46,7 @@
                  const std::string& body,
                  Bundle& bundle) {
   bundle.documents[ServiceDocumentName(service)] = body;
-  bundle.manifest.entries.push_back({service, number, DigestOf(body)});
+  bundle.manifest.entries.push_back({service, number, DigestOf(body), {}});
 }
 
 // Previous documents of services that no good file describes now.
--- a/packages/transport/platform_client.cc
+++ b/packages/transport/platform_client.cc
@@ -62,9 +62,10 @@
 
 }  // namespace
 
-class PlatformClient::Impl {
+// One thread that makes one call after another.
+class PlatformClient::Caller {
  public:
-  Impl(std::string address, Listener& listener)
+  Caller(std::string address, Listener& listener)
       : address_(std::move(address)),
         listener_(listener),
         ring_(kRingCapacity) {}
@@ -108,7 +109,7 @@
   std::thread thread_;
 };
 
-void PlatformClient::Impl::Run() {
+void PlatformClient::Caller::Run() {
   CURL* easy = curl_easy_init();
   while (const std::optional<Query> query = Wait()) {
     Perform(easy, *query);
@@ -116,7 +117,7 @@
   curl_easy_cleanup(easy);
 }
 
-std::optional<Query> PlatformClient::Impl::Wait() {
+std::optional<Query> PlatformClient::Caller::Wait() {
   std::unique_lock lock(mutex_);
   while (!is_stopping_) {
     if (auto query = ring_.TryPop()) {
@@ -127,7 +128,7 @@
   return std::nullopt;
 }
 
-void PlatformClient::Impl::Perform(CURL* easy, const Query& query) {
+void PlatformClient::Caller::Perform(CURL* easy, const Query& query) {
   Value value;
   const std::string url = "http://" + address_ + query.target;
   curl_easy_reset(easy);
@@ -157,24 +158,35 @@
       is_reached);
 }
 
-PlatformClient::PlatformClient(std::string address, Listener& listener)
-    : impl_(std::make_unique<Impl>(std::move(address), listener)) {}
+class PlatformClient::Impl {
+ public:
+  Impl(const std::string& address, Listener& listener)
+      : reads_(address, listener), watches_(address, listener) {}
+
+  Caller reads_;
+  Caller watches_;
+};
+
+PlatformClient::PlatformClient(const std::string& address, Listener& listener)
+    : impl_(std::make_unique<Impl>(address, listener)) {}
 
 PlatformClient::~PlatformClient() {
   Stop();
 }
 
 void PlatformClient::Start() {
-  impl_->Start();
+  impl_->reads_.Start();
+  impl_->watches_.Start();
 }
 
 void PlatformClient::Stop() {
-  impl_->Stop();
+  impl_->reads_.Stop();
+  impl_->watches_.Stop();
 }
 
 bool PlatformClient::Read(std::string name) {
   std::string target = "/v1/values/" + name;
-  return impl_->Push({std::move(name), std::move(target), kReadTimeout});
+  return impl_->reads_.Push({std::move(name), std::move(target), kReadTimeout});
 }
 
 bool PlatformClient::Watch(std::string name,
@@ -182,11 +194,12 @@
                            milliseconds wait) {
   std::string target = "/v1/watch/" + name + "?after=" + std::to_string(after) +
                        "&wait_ms=" + std::to_string(wait.count());
-  return impl_->Push({std::move(name), std::move(target), wait + kReadTimeout});
+  return impl_->watches_.Push(
+      {std::move(name), std::move(target), wait + kReadTimeout});
 }
 
 std::uint64_t PlatformClient::call_count() const {
-  return impl_->call_count();
+  return impl_->reads_.call_count() + impl_->watches_.call_count();
 }
 
 }  // namespace vanillafall
--- a/packages/transport/platform_client.h
+++ b/packages/transport/platform_client.h
@@ -9,8 +9,9 @@
 
 namespace vanillafall {
 
-// Reads and watches of the platform's configuration service, one at a time, on
-// a platform thread of its own. The service can only be read.
+// Reads and watches of the platform's configuration service. Reads go one at a
+// time on a thread of their own, watches on another, so that a waiting watch
+// holds up no read. The service can only be read.
 class PlatformClient {
  public:
   struct Value {
@@ -19,7 +20,7 @@
     std::string body;
   };
 
-  // Called on the platform thread.
+  // Called on either platform thread.
   class Listener {
    public:
     virtual ~Listener() = default;
@@ -30,7 +31,7 @@
                                  bool is_reached) = 0;
   };
 
-  PlatformClient(std::string address, Listener& listener);
+  PlatformClient(const std::string& address, Listener& listener);
   ~PlatformClient();
   PlatformClient(const PlatformClient&) = delete;
   PlatformClient& operator=(const PlatformClient&) = delete;
@@ -50,6 +51,7 @@
   std::uint64_t call_count() const;
 
  private:
+  class Caller;
   class Impl;
   const std::unique_ptr<Impl> impl_;
 };
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -272,6 +272,40 @@
   return reply;
 }
 
+void Put(const ConfigVersion& version, wire::ConfigVersion::Builder builder) {
+  builder.setNumber(version.number);
+  Put(version.digest, builder.initDigest());
+}
+
+ConfigVersion Get(wire::ConfigVersion::Reader reader) {
+  return {reader.getNumber(), Get(reader.getDigest())};
+}
+
+void Put(const ConfigProbe& probe, wire::ConfigProbe::Builder builder) {
+  Put(probe.version, builder.initVersion());
+  builder.setSender(probe.sender);
+  builder.setIncarnation(probe.incarnation);
+  builder.setDataCentre(probe.data_centre);
+}
+
+ConfigProbe Get(wire::ConfigProbe::Reader reader) {
+  return {Get(reader.getVersion()), ToStdString(reader.getSender()),
+          reader.getIncarnation(), ToStdString(reader.getDataCentre())};
+}
+
+void Put(const ConfigProbeReply& reply,
+         wire::ConfigProbeReply::Builder builder) {
+  Put(reply.version, builder.initVersion());
+  builder.setIncarnation(reply.incarnation);
+  builder.setDataCentre(reply.data_centre);
+  builder.setIsPlatformReached(reply.is_platform_reached);
+}
+
+ConfigProbeReply Get(wire::ConfigProbeReply::Reader reader) {
+  return {Get(reader.getVersion()), reader.getIncarnation(),
+          ToStdString(reader.getDataCentre()), reader.getIsPlatformReached()};
+}
+
 // Writes one alternative of PeerRequest.
 class RequestWriter {
  public:
@@ -289,15 +323,11 @@
     Put(m.fingerprint, crash.initFingerprint());
     crash.setAlone(m.alone);
   }
-  void operator()(const ConfigProbe& m) {
-    auto probe = builder_.initConfigProbe();
-    probe.setManifestNumber(m.manifest_number);
-    probe.setSender(m.sender);
-  }
+  void operator()(const ConfigProbe& m) { Put(m, builder_.initConfigProbe()); }
   void operator()(const DocumentRequest& m) {
     auto document = builder_.initDocument();
     document.setName(m.name);
-    document.setNumber(m.number);
+    Put(m.digest, document.initDigest());
   }
 
  private:
@@ -322,7 +352,7 @@
   void operator()(const LeaseReply& m) { Put(m, builder_.initLease()); }
   void operator()(const CrashReply&) { builder_.setCrash(); }
   void operator()(const ConfigProbeReply& m) {
-    builder_.initConfigProbe().setManifestNumber(m.manifest_number);
+    Put(m, builder_.initConfigProbe());
   }
   void operator()(const DocumentReply& m) {
     auto document = builder_.initDocument();
@@ -369,15 +399,12 @@
       return CrashNotice{ToStdString(crash.getService()),
                          Get(crash.getFingerprint()), crash.getAlone()};
     }
-    case wire::PeerRequest::CONFIG_PROBE: {
-      auto probe = reader.getConfigProbe();
-      return ConfigProbe{probe.getManifestNumber(),
-                         ToStdString(probe.getSender())};
-    }
+    case wire::PeerRequest::CONFIG_PROBE:
+      return Get(reader.getConfigProbe());
     case wire::PeerRequest::DOCUMENT: {
       auto document = reader.getDocument();
       return DocumentRequest{ToStdString(document.getName()),
-                             document.getNumber()};
+                             Get(document.getDigest())};
     }
   }
   throw OutOfRange();
@@ -398,7 +425,7 @@
     case wire::PeerReply::CRASH:
       return CrashReply{};
     case wire::PeerReply::CONFIG_PROBE:
-      return ConfigProbeReply{reader.getConfigProbe().getManifestNumber()};
+      return Get(reader.getConfigProbe());
     case wire::PeerReply::DOCUMENT:
       return GetDocumentReply(reader.getDocument());
   }
--- a/packages/wire/peer.capnp
+++ b/packages/wire/peer.capnp
@@ -113,9 +113,23 @@
   alone @2 :Bool;
 }
 
-struct ConfigProbe { manifestNumber @0 :UInt64; sender @1 :Text; }
-struct ConfigProbeReply { manifestNumber @0 :UInt64; }
-struct DocumentRequest { name @0 :Text; number @1 :UInt64; }
+struct ConfigVersion { number @0 :UInt64; digest @1 :Hash; }
+
+struct ConfigProbe {
+  version @0 :ConfigVersion;
+  sender @1 :Text;
+  incarnation @2 :UInt64;
+  dataCentre @3 :Text;
+}
+
+struct ConfigProbeReply {
+  version @0 :ConfigVersion;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  isPlatformReached @3 :Bool;
+}
+
+struct DocumentRequest { name @0 :Text; digest @1 :Hash; }
 struct DocumentReply { hasBody @0 :Bool; body @1 :Data; }
 
 struct PeerRequest {
