--- /dev/null
+++ b/packages/control/config_keeper_test.cc
@@ -0,0 +1,408 @@
+#include "control/config_keeper.h"
+
+#include <catch2/catch.hpp>
+
+#include "control/keeper_fleet_fake.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Mode = KeeperFleet::PlatformMode;
+
+KeeperFleet::Options Size(std::size_t daemons, std::size_t data_centres) {
+  KeeperFleet::Options options;
+  options.daemons = daemons;
+  options.data_centres = data_centres;
+  return options;
+}
+
+// A fleet with its first publication in force.
+class RunningFleet : public KeeperFleet {
+ public:
+  explicit RunningFleet(const Options& options)
+      : KeeperFleet(options), first(Make(1, {}, {})) {
+    Publish(first);
+    StartAll();
+    Run(seconds(10));
+    REQUIRE(AllHold(first.version));
+  }
+
+  const FakePublication first;
+};
+
+// One keeper, driven by hand.
+class LoneKeeper {
+ public:
+  LoneKeeper() : maker(Size(8, 2)), keeper_(MakeIdentity()) {
+    keeper_.Start(now, actions);
+    now += seconds(3);
+    Advance();
+  }
+
+  void Advance() { keeper_.Advance(now, actions); }
+  void OnProbe(const PeerAddress& sender, const ConfigVersion& version) {
+    keeper_.OnProbe({version, sender, 1, "dc-0"}, now, actions);
+  }
+  // Answers the open requests for documents that the peer was asked for.
+  std::size_t Answer(const PeerAddress& peer, const FakePublication& from) {
+    std::size_t answered = 0;
+    ControlActions taken;
+    taken.swap(actions);
+    for (const ControlAction& action : taken) {
+      const auto* ask = std::get_if<AskPeer>(&action);
+      const auto* request = ask == nullptr
+                                ? nullptr
+                                : std::get_if<DocumentRequest>(&ask->request);
+      if (request == nullptr || ask->peer != peer) {
+        actions.push_back(action);
+        continue;
+      }
+      ++answered;
+      keeper_.OnPeerReplied(ask->call,
+                            DocumentReply{from.documents.at(request->name)},
+                            now, actions);
+    }
+    return answered;
+  }
+  void AnswerAll(const PeerAddress& peer, const FakePublication& from) {
+    while (Answer(peer, from) != 0) {
+    }
+  }
+  std::size_t Count(LogEventId id) const {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(), [id](const ControlAction& action) {
+          const auto* event = std::get_if<LogEvent>(&action);
+          return event != nullptr && event->id == id;
+        }));
+  }
+  std::size_t CountWatches() const {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(), [](const ControlAction& action) {
+          return std::holds_alternative<WatchPlatform>(action);
+        }));
+  }
+  ConfigKeeper& keeper() { return keeper_; }
+
+  KeeperFleet maker;
+  TimePoint now{hours(1)};
+  ControlActions actions;
+
+ private:
+  static ConfigKeeper::Identity MakeIdentity() {
+    ConfigKeeper::Identity identity;
+    identity.self = "10.0.9.9:7100";
+    identity.data_centre = "dc-0";
+    identity.has_platform = true;
+    identity.seed = 5;
+    identity.incarnation = 6;
+    return identity;
+  }
+
+  ConfigKeeper keeper_;
+};
+
+constexpr char kOne[] = "10.1.0.1:7100";
+constexpr char kTwo[] = "10.1.0.2:7100";
+
+TEST_CASE("a publication is in force everywhere within five seconds",
+          "[keeper]") {
+  RunningFleet fleet(Size(60, 3));
+  const FakePublication next = fleet.Make(2, fleet.first, {3});
+  fleet.Publish(next);
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+  // Numbers may jump.
+  const FakePublication far = fleet.Make(1'000'000, next, {4});
+  fleet.Publish(far);
+  CHECK(fleet.RunUntilAll(far.version, seconds(10)) <= seconds(5));
+}
+
+TEST_CASE("a fresh daemon asks peers before it trusts an old platform",
+          "[keeper]") {
+  RunningFleet fleet(Size(12, 3));
+  fleet.SetPlatform(Mode::kStale, milliseconds(0));
+  const FakePublication next = fleet.Make(2, fleet.first, {});
+  fleet.Publish(next);
+  fleet.SetPlatform(Mode::kOk, milliseconds(0));
+  REQUIRE(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+  for (const auto& [name, body] : fleet.first.documents) {
+    fleet.PutValue(name, body);
+  }
+  for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+    fleet.StartNode(i);
+    fleet.Run(seconds(6));
+    const ConfigReport report = fleet.nodes()[i].keeper->GetReport();
+    REQUIRE(report.arrivals.size() == 1);
+    CHECK(report.arrivals.front().version == next.version);
+  }
+}
+
+TEST_CASE("a stale platform never takes a daemon back", "[keeper]") {
+  RunningFleet fleet(Size(6, 2));
+  const FakePublication next = fleet.Make(2, fleet.first, {});
+  fleet.Publish(next);
+  REQUIRE(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+  fleet.PutValue(kManifestName, fleet.first.documents.at(kManifestName));
+  REQUIRE_NOTHROW(fleet.Run(seconds(30)));
+  CHECK(fleet.AllHold(next.version));
+  CHECK(fleet.CountEvents(LogEventId::kConfigRefusedOlder) > 0);
+}
+
+TEST_CASE("two publications of one number converge and are reported",
+          "[keeper]") {
+  RunningFleet fleet(Size(12, 3));
+  const FakePublication one = fleet.Make(2, fleet.first, {1});
+  const FakePublication other = fleet.Make(2, fleet.first, {2});
+  REQUIRE(one.version.digest != other.version.digest);
+  const bool one_first = GENERATE(true, false);
+  fleet.Publish(one_first ? one : other);
+  fleet.Run(milliseconds(GENERATE(0, 20, 3000)));
+  fleet.Publish(one_first ? other : one);
+  REQUIRE_NOTHROW(fleet.Run(seconds(15)));
+  CHECK(fleet.AllHold(fleet.nodes().front().keeper->version()));
+  CHECK(fleet.nodes().front().keeper->manifest_number() == 2);
+  const FakePublication next = fleet.Make(3, one, {});
+  fleet.Publish(next);
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+}
+
+TEST_CASE("a conflict is an event that names both publications", "[keeper]") {
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  const FakePublication one = lone.maker.Make(2, first, {1});
+  const FakePublication other = lone.maker.Make(2, first, {2});
+  const bool is_one_greater = other.version < one.version;
+  const FakePublication& greater = is_one_greater ? one : other;
+  const FakePublication& lesser = is_one_greater ? other : one;
+  lone.OnProbe(kOne, lesser.version);
+  lone.AnswerAll(kOne, lesser);
+  REQUIRE(lone.keeper().version() == lesser.version);
+  lone.OnProbe(kTwo, greater.version);
+  lone.AnswerAll(kTwo, greater);
+  CHECK(lone.keeper().version() == greater.version);
+  CHECK(lone.Count(LogEventId::kConfigConflict) == 1);
+  lone.OnProbe(kOne, lesser.version);
+  lone.AnswerAll(kOne, lesser);
+  CHECK(lone.keeper().version() == greater.version);
+  CHECK(lone.Count(LogEventId::kConfigConflict) == 2);
+}
+
+TEST_CASE("half a publication is not in force, and is when the rest comes",
+          "[keeper]") {
+  RunningFleet fleet(Size(6, 2));
+  const FakePublication next = fleet.Make(2, fleet.first, {1, 2});
+  const std::string late = ServiceDocumentName("service-1");
+  fleet.Announce(next);
+  const bool is_damaged = GENERATE(true, false);
+  for (const auto& [name, body] : next.documents) {
+    if (name != late) {
+      fleet.PutValue(name, body);
+    } else if (is_damaged) {
+      fleet.PutValue(name, body.substr(0, body.size() / 2));
+    } else {
+      fleet.RemoveValue(name);
+    }
+  }
+  REQUIRE_NOTHROW(fleet.Run(seconds(20)));
+  CHECK(fleet.AllHold(fleet.first.version));
+  CHECK(fleet.CountEvents(LogEventId::kConfigDamaged) > 0);
+  fleet.PutValue(late, next.documents.at(late));
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+}
+
+TEST_CASE("a damaged or missing answer is replaced by another peer's",
+          "[keeper]") {
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  FakePublication damaged = first;
+  for (auto& [name, body] : damaged.documents) {
+    body = name == kManifestName ? body : body.substr(1);
+  }
+  lone.OnProbe(kOne, first.version);
+  lone.OnProbe(kTwo, first.version);
+  for (int i = 0; i < 40 && lone.keeper().version() != first.version; ++i) {
+    lone.Answer(kOne, damaged);
+    lone.Answer(kTwo, first);
+  }
+  CHECK(lone.keeper().version() == first.version);
+}
+
+TEST_CASE("a peer that never answers does not hold a publication up",
+          "[keeper]") {
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  lone.OnProbe(kOne, first.version);
+  lone.OnProbe(kTwo, first.version);
+  for (int i = 0; i < 400 && lone.keeper().version() != first.version; ++i) {
+    lone.Answer(kTwo, first);
+    lone.now += milliseconds(100);
+    lone.Advance();
+  }
+  CHECK(lone.keeper().version() == first.version);
+}
+
+TEST_CASE("ever newer publications don't starve the one on its way",
+          "[keeper]") {
+  LoneKeeper lone;
+  FakePublication latest = lone.maker.Make(1, {}, {});
+  const FakePublication first = latest;
+  lone.OnProbe(kOne, first.version);
+  REQUIRE(lone.Answer(kOne, first) == 1);  // the manifest
+  for (std::uint64_t number = 2; number < 30; ++number) {
+    latest = lone.maker.Make(number, latest, {});
+    lone.OnProbe(kTwo, latest.version);
+    lone.now += milliseconds(100);
+    lone.Advance();
+    lone.Answer(kOne, first);
+  }
+  CHECK(lone.keeper().version() == first.version);
+  lone.AnswerAll(kTwo, latest);
+  CHECK(lone.keeper().version() == latest.version);
+}
+
+TEST_CASE("a stalled publication gives way to a newer one", "[keeper]") {
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  const FakePublication next = lone.maker.Make(2, first, {});
+  lone.OnProbe(kOne, first.version);
+  REQUIRE(lone.Answer(kOne, first) == 1);
+  lone.OnProbe(kTwo, next.version);
+  for (int i = 0; i < 50 && lone.keeper().version() != next.version; ++i) {
+    lone.now += milliseconds(100);
+    lone.Advance();
+    lone.Answer(kTwo, next);
+  }
+  CHECK(lone.keeper().version() == next.version);
+}
+
+TEST_CASE("only changed documents are pulled", "[keeper]") {
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  const FakePublication next = lone.maker.Make(2, first, {5});
+  lone.OnProbe(kOne, first.version);
+  lone.AnswerAll(kOne, first);
+  REQUIRE(lone.keeper().version() == first.version);
+  lone.OnProbe(kOne, next.version);
+  CHECK(lone.Answer(kOne, next) == 1);  // the manifest
+  CHECK(lone.Answer(kOne, next) == 2);  // services 0 and 5
+  CHECK(lone.keeper().version() == next.version);
+}
+
+TEST_CASE("few daemons watch, and others take over when they die", "[keeper]") {
+  RunningFleet fleet(Size(80, 1));
+  CHECK(fleet.CountWatchers() == 2);
+  for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+    if (fleet.nodes()[i].keeper->GetReport().is_watching) {
+      fleet.KillNode(i);
+    }
+  }
+  const FakePublication next = fleet.Make(2, fleet.first, {});
+  fleet.Publish(next);
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+}
+
+TEST_CASE("a fleet without its platform goes on, and returns without a rush",
+          "[keeper]") {
+  RunningFleet fleet(Size(40, 4));
+  fleet.SetPlatform(Mode::kDown, milliseconds(0));
+  fleet.Run(hours(1));
+  for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+    fleet.StartNode(i);
+    fleet.Run(seconds(5));
+    REQUIRE(fleet.nodes()[i].keeper->version() == fleet.first.version);
+  }
+  const FakePublication next = fleet.Make(2, fleet.first, {});
+  fleet.Publish(next);
+  fleet.GetAndResetMostCallsInSecond();
+  fleet.SetPlatform(Mode::kOk, milliseconds(0));
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+  // Four data centres: at most 16 watchers, each with the watch and the two
+  // changed documents in its first second.
+  CHECK(fleet.GetAndResetMostCallsInSecond() <= 16 * 4);
+}
+
+TEST_CASE("a whole fleet that starts at once spares the platform", "[keeper]") {
+  KeeperFleet fleet(Size(200, 4));
+  const FakePublication first = fleet.Make(1, {}, {}, 100);
+  fleet.Publish(first);
+  fleet.StartAll();
+  CHECK(fleet.RunUntilAll(first.version, seconds(60)) <= seconds(20));
+  // Each daemon reads the list of instances once; the watchers the documents.
+  CHECK(fleet.platform_calls() <= 200 + 16 * 110);
+}
+
+TEST_CASE("a platform that answers watches with nothing is not asked at once",
+          "[keeper]") {
+  LoneKeeper lone;
+  lone.keeper().OnPlatformValue(kInstancesName, std::nullopt, true, lone.now,
+                                lone.actions);
+  lone.Advance();
+  for (int i = 0; i < 100; ++i) {
+    lone.keeper().OnPlatformValue(kManifestName, std::nullopt, true, lone.now,
+                                  lone.actions);
+    lone.now += milliseconds(100);
+    lone.Advance();
+  }
+  CHECK(lone.CountWatches() >= 2);
+  CHECK(lone.CountWatches() <= 14);
+}
+
+TEST_CASE("a platform whose revisions begin anew is read again", "[keeper]") {
+  RunningFleet fleet(Size(4, 1));
+  LoneKeeper lone;
+  const FakePublication first = lone.maker.Make(1, {}, {});
+  lone.Advance();
+  lone.keeper().OnPlatformValue(
+      kManifestName, PlatformValue{900, first.documents.at(kManifestName)},
+      true, lone.now, lone.actions);
+  bool is_read_whole = false;
+  for (int i = 0; i < 10; ++i) {
+    lone.now += seconds(1);
+    lone.Advance();
+    lone.actions.clear();
+    lone.now += seconds(20);
+    lone.keeper().OnPlatformValue(kManifestName, std::nullopt, true, lone.now,
+                                  lone.actions);
+    lone.Advance();
+    for (const ControlAction& action : lone.actions) {
+      const auto* watch = std::get_if<WatchPlatform>(&action);
+      is_read_whole = is_read_whole || (watch != nullptr && watch->after == 0);
+    }
+  }
+  CHECK(is_read_whole);
+}
+
+TEST_CASE("a sleeper wakes and catches up without going back", "[keeper]") {
+  RunningFleet fleet(Size(12, 3));
+  fleet.Pause(5, seconds(30));
+  FakePublication latest = fleet.first;
+  for (std::uint64_t number = 2; number <= 4; ++number) {
+    latest = fleet.Make(number, latest, {});
+    fleet.Publish(latest);
+    fleet.Run(seconds(8));
+  }
+  REQUIRE_NOTHROW(fleet.Run(seconds(11)));
+  CHECK(fleet.nodes()[5].keeper->version() == latest.version);
+}
+
+TEST_CASE("a data centre cut from the platform and one way from the others",
+          "[keeper]") {
+  RunningFleet fleet(Size(30, 3));
+  // Nothing from data centres 1 and 2 reaches data centre 0 but from daemon 1.
+  for (std::size_t from = 0; from < 30; ++from) {
+    for (std::size_t to = 0; to < 30; to += 3) {
+      if (from % 3 != 0 && from != 1) {
+        fleet.Cut(from, to);
+      }
+    }
+  }
+  fleet.Run(seconds(20));
+  const FakePublication next = fleet.Make(2, fleet.first, {});
+  fleet.Publish(next);
+  CHECK(fleet.RunUntilAll(next.version, seconds(10)) <= seconds(5));
+}
+
+}  // namespace
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/control/keeper_fleet_fake.h
@@ -0,0 +1,517 @@
+#ifndef CONTROL_KEEPER_FLEET_FAKE_H_
+#define CONTROL_KEEPER_FLEET_FAKE_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/document.h"
+#include "control/config_keeper.h"
+
+namespace vanillafall {
+
+// Documents of one made-up publication, the manifest among them.
+struct FakePublication {
+  ConfigVersion version;
+  std::map<std::string, std::string> documents;
+  // Number of each service's document.
+  std::map<std::string, std::uint64_t> numbers;
+};
+
+// Many config keepers, a platform and a network in one thread on a clock of
+// their own, for tests and measurements. Throws std::logic_error when a daemon
+// puts an older version after a newer one in force, or half of one.
+class KeeperFleet {
+ public:
+  using milliseconds = std::chrono::milliseconds;
+  using Sizer = std::function<std::size_t(const PeerRequest&)>;
+  using ReplySizer = std::function<std::size_t(const PeerReply&)>;
+
+  struct Options {
+    std::size_t daemons = 10;
+    std::size_t data_centres = 3;
+    std::size_t seeds = 2;
+    bool has_instances = true;
+    std::uint64_t seed = 1;
+    milliseconds least_latency{1};
+    milliseconds most_latency{3};
+  };
+
+  struct Node {
+    std::unique_ptr<ConfigKeeper> keeper;
+    // Counts its lives; calls of former ones go nowhere.
+    std::uint64_t life = 0;
+    bool is_up = false;
+    TimePoint asleep_until;
+    FleetConfigPtr config;
+    TimePoint in_force;
+    std::vector<LogEvent> events;
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+  };
+
+  explicit KeeperFleet(Options options)
+      : options_(options), random_(options.seed), nodes_(options.daemons) {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      addresses_[AddressOf(i)] = i;
+    }
+    if (options_.has_instances) {
+      PutValue(kInstancesName, MakeInstances());
+    }
+  }
+  KeeperFleet(const KeeperFleet&) = delete;
+  KeeperFleet& operator=(const KeeperFleet&) = delete;
+
+  // ---- Daemons ----
+
+  static PeerAddress AddressOf(std::size_t i) {
+    constexpr std::size_t kBlock = 250;
+    return "10.0." + std::to_string(i / kBlock) + "." +
+           std::to_string(i % kBlock) + ":7100";
+  }
+  std::string DataCentreOf(std::size_t i) const {
+    return "dc-" + std::to_string(i % options_.data_centres);
+  }
+  void StartAll() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      StartNode(i);
+    }
+  }
+  // Starts or replaces a daemon; the new one knows nothing.
+  void StartNode(std::size_t i) {
+    Node& node = nodes_[i];
+    ConfigKeeper::Identity identity;
+    identity.self = AddressOf(i);
+    identity.data_centre = DataCentreOf(i);
+    identity.has_platform = true;
+    identity.seed = random_();
+    identity.incarnation = random_();
+    for (std::size_t s = 0; s < options_.seeds; ++s) {
+      identity.seeds.push_back(AddressOf(s));
+    }
+    node.keeper = std::make_unique<ConfigKeeper>(identity);
+    ++node.life;
+    node.is_up = true;
+    node.asleep_until = {};
+    node.config.reset();
+    ControlActions actions;
+    node.keeper->Start(now_, actions);
+    Carry(i, actions);
+    Tick(i, node.life, milliseconds(Draw(1, kTickMs)));
+  }
+  void KillNode(std::size_t i) {
+    nodes_[i].is_up = false;
+    ++nodes_[i].life;
+  }
+  // The daemon does nothing until then and wakes with what it believed.
+  void Pause(std::size_t i, Duration time) {
+    nodes_[i].asleep_until = now_ + time;
+  }
+  // Messages from one daemon to the other are lost.
+  void Cut(std::size_t from, std::size_t to) { cuts_.insert({from, to}); }
+  void HealCuts() { cuts_.clear(); }
+
+  // ---- Platform ----
+
+  enum class PlatformMode : std::uint8_t { kOk, kDown, kStale };
+  void SetPlatform(PlatformMode mode, milliseconds delay) {
+    if (mode == PlatformMode::kStale && mode_ != mode) {
+      stale_values_ = values_;
+    }
+    mode_ = mode;
+    platform_delay_ = delay;
+    EndWatches();
+  }
+  void PutValue(const std::string& name, const std::string& body) {
+    values_[name] = {++revision_, body};
+    EndWatches();
+  }
+  void RemoveValue(const std::string& name) { values_.erase(name); }
+  void Publish(const FakePublication& publication) {
+    Announce(publication);
+    for (const auto& [name, body] : publication.documents) {
+      if (name != kManifestName) {
+        PutValue(name, body);
+      }
+    }
+    PutValue(kManifestName, publication.documents.at(kManifestName));
+  }
+  // Makes a publication known to the checks without publishing it.
+  void Announce(const FakePublication& publication) {
+    published_[publication.version] = publication.numbers;
+  }
+  // A publication that changes some services of the one before. The number of
+  // the first service changes always.
+  FakePublication Make(std::uint64_t number,
+                       const FakePublication& before,
+                       const std::set<std::size_t>& changed,
+                       std::size_t services = 12) {
+    FakePublication made;
+    Manifest manifest;
+    manifest.number = number;
+    for (std::size_t s = 0; s < services; ++s) {
+      const std::string name = "service-" + std::to_string(s);
+      const auto held = before.numbers.find(name);
+      const bool is_changed =
+          held == before.numbers.end() || s == 0 || changed.contains(s);
+      ServiceConfig service = MakeService(s);
+      service.number = held == before.numbers.end() ? 1
+                       : is_changed                 ? held->second + 1
+                                                    : held->second;
+      std::string body =
+          is_changed ? EncodeService(service)
+                     : before.documents.at(ServiceDocumentName(service.name));
+      manifest.entries.push_back(MakeManifestEntry(service, body));
+      made.numbers[service.name] = service.number;
+      made.documents[ServiceDocumentName(service.name)] = std::move(body);
+    }
+    std::string body = EncodeManifest(manifest);
+    made.version = {number, DigestOf(body)};
+    made.documents[kManifestName] = std::move(body);
+    return made;
+  }
+
+  // ---- Time ----
+
+  void Run(Duration time) {
+    const TimePoint until = now_ + time;
+    while (!events_.empty() && events_.top().time <= until) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.time;
+      event.run();
+    }
+    now_ = until;
+  }
+  // Runs until all daemons that are up hold the version, and says how long it
+  // took; longer than the most when they do not.
+  Duration RunUntilAll(const ConfigVersion& version, Duration most) {
+    const TimePoint begin = now_;
+    while (now_ - begin <= most && !AllHold(version)) {
+      Run(milliseconds(10));
+    }
+    return now_ - begin;
+  }
+  bool AllHold(const ConfigVersion& version) const {
+    return std::all_of(
+        nodes_.begin(), nodes_.end(), [&version](const Node& node) {
+          return !node.is_up || node.keeper->version() == version;
+        });
+  }
+
+  // ---- What has happened ----
+
+  TimePoint now() const { return now_; }
+  std::vector<Node>& nodes() { return nodes_; }
+  std::uint64_t platform_calls() const { return platform_calls_; }
+  std::uint64_t GetAndResetMostCallsInSecond() {
+    return std::exchange(most_calls_in_second_, 0);
+  }
+  std::size_t CountWatchers() const {
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [](const Node& node) {
+          return node.is_up && node.keeper->GetReport().is_watching;
+        }));
+  }
+  std::size_t CountEvents(LogEventId id) const {
+    std::size_t count = 0;
+    for (const Node& node : nodes_) {
+      count += static_cast<std::size_t>(std::count_if(
+          node.events.begin(), node.events.end(),
+          [id](const LogEvent& event) { return event.id == id; }));
+    }
+    return count;
+  }
+  void SetSizers(Sizer request, ReplySizer reply) {
+    sizer_ = std::move(request);
+    reply_sizer_ = std::move(reply);
+  }
+  void ResetTraffic() {
+    for (Node& node : nodes_) {
+      node.messages = 0;
+      node.bytes = 0;
+    }
+  }
+
+ private:
+  static constexpr std::int64_t kTickMs = 100;
+
+  struct Event {
+    TimePoint time;
+    std::uint64_t sequence = 0;
+    std::function<void()> run;
+
+    bool operator<(const Event& other) const {
+      return time != other.time ? time > other.time : sequence > other.sequence;
+    }
+  };
+  struct Watch {
+    std::size_t node = 0;
+    std::uint64_t life = 0;
+    std::string name;
+    std::uint64_t after = 0;
+    bool is_ended = false;
+  };
+  // A call that waits for its end; the first of reply and timeout wins.
+  struct Pending {
+    std::size_t node = 0;
+    std::uint64_t life = 0;
+    PeerCallId call = 0;
+    bool is_ended = false;
+  };
+
+  std::int64_t Draw(std::int64_t least, std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random_);
+  }
+  milliseconds Latency() {
+    return milliseconds(
+        Draw(options_.least_latency.count(), options_.most_latency.count()));
+  }
+  void At(Duration delay, std::function<void()> run) {
+    events_.push({now_ + delay, ++sequence_, std::move(run)});
+  }
+  // Runs for the node's present life, when it is awake.
+  void AtNode(std::size_t i,
+              std::uint64_t life,
+              Duration delay,
+              std::function<void()> run) {
+    At(delay, [this, i, life, run = std::move(run)] {
+      Node& node = nodes_[i];
+      if (node.life != life) {
+        return;
+      }
+      if (node.asleep_until > now_) {
+        AtNode(i, life, node.asleep_until - now_, run);
+        return;
+      }
+      run();
+    });
+  }
+  void Tick(std::size_t i, std::uint64_t life, Duration delay) {
+    AtNode(i, life, delay, [this, i, life] {
+      ControlActions actions;
+      nodes_[i].keeper->Advance(now_, actions);
+      Carry(i, actions);
+      Tick(i, life, milliseconds(kTickMs));
+    });
+  }
+
+  ServiceConfig MakeService(std::size_t s) const {
+    constexpr std::size_t kServers = 5;
+    ServiceConfig service;
+    service.name = "service-" + std::to_string(s);
+    service.callers = {"*"};
+    service.resend_window = std::chrono::minutes(15);
+    service.routes = {{"/s" + std::to_string(s), "work", {"POST"}}};
+    for (std::size_t k = 0; k < kServers; ++k) {
+      const std::size_t owner = (s * kServers + k) % nodes_.size();
+      service.backend_servers.push_back(
+          {service.name + "-" + std::to_string(k),
+           "10.9.0.1:" + std::to_string(s * kServers + k + 1), AddressOf(owner),
+           DataCentreOf(owner), 3});
+    }
+    return service;
+  }
+  std::string MakeInstances() const {
+    std::string list;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      list += (list.empty() ? "" : ",") +
+              std::string(R"({"instance":"i","region":"r","state":"live",)") +
+              R"("data_centre":")" + DataCentreOf(i) + R"(","peer_address":")" +
+              AddressOf(i) + "\"}";
+    }
+    return "[" + list + "]";
+  }
+
+  void Carry(std::size_t i, ControlActions& actions) {
+    for (ControlAction& action : actions) {
+      if (const auto* ask = std::get_if<AskPeer>(&action)) {
+        CarryAsk(i, *ask);
+      } else if (const auto* read = std::get_if<ReadPlatform>(&action)) {
+        CarryRead(i, read->name);
+      } else if (const auto* watch = std::get_if<WatchPlatform>(&action)) {
+        CarryWatch(i, *watch);
+      } else if (auto* put = std::get_if<PutInForce>(&action)) {
+        Check(i, put->config);
+      } else if (auto* event = std::get_if<LogEvent>(&action)) {
+        nodes_[i].events.push_back(std::move(*event));
+      }
+    }
+    actions.clear();
+  }
+
+  void Check(std::size_t i, const FleetConfigPtr& config) {
+    Node& node = nodes_[i];
+    const auto known = published_.find(node.keeper->version());
+    if (known == published_.end() ||
+        known->first.number != config->manifest_number) {
+      throw std::logic_error("a version in force that nobody published");
+    }
+    if (node.config && config->manifest_number < node.config->manifest_number) {
+      throw std::logic_error("an older version after a newer one");
+    }
+    if (config->services.size() != known->second.size()) {
+      throw std::logic_error("half a publication in force");
+    }
+    for (const auto& [name, number] : known->second) {
+      if (config->services.at(name).number != number) {
+        throw std::logic_error("a mixed publication in force");
+      }
+    }
+    node.config = config;
+    node.in_force = now_;
+  }
+
+  void Count(std::size_t i, std::size_t bytes) {
+    ++nodes_[i].messages;
+    nodes_[i].bytes += bytes;
+  }
+
+  void CarryAsk(std::size_t from, const AskPeer& ask) {
+    auto pending = std::make_shared<Pending>(
+        Pending{from, nodes_[from].life, ask.call, false});
+    const auto found = addresses_.find(ask.peer);
+    if (found == addresses_.end() || !nodes_[found->second].is_up) {
+      End(pending, Latency(), PeerFailure::kNotSent);
+      return;
+    }
+    const std::size_t to = found->second;
+    End(pending, ask.timeout, PeerFailure::kLost);
+    Count(from, sizer_ ? sizer_(ask.request) : 0);
+    if (cuts_.contains({from, to})) {
+      return;
+    }
+    AtNode(to, nodes_[to].life, Latency(),
+           [this, pending, to, request = ask.request] {
+             Answer(to, request, pending);
+           });
+  }
+  void Answer(std::size_t to,
+              const PeerRequest& request,
+              const std::shared_ptr<Pending>& pending) {
+    Node& node = nodes_[to];
+    ControlActions actions;
+    PeerReply reply;
+    if (const auto* probe = std::get_if<ConfigProbe>(&request)) {
+      reply = node.keeper->OnProbe(*probe, now_, actions);
+    } else {
+      reply =
+          node.keeper->OnDocumentRequest(std::get<DocumentRequest>(request));
+    }
+    Count(to, sizer_ ? sizer_(request) : 0);
+    Count(to, reply_sizer_ ? reply_sizer_(reply) : 0);
+    Carry(to, actions);
+    if (!cuts_.contains({to, pending->node})) {
+      End(pending, Latency(), std::move(reply));
+    }
+  }
+  void End(const std::shared_ptr<Pending>& pending,
+           Duration delay,
+           std::variant<PeerReply, PeerFailure> result) {
+    AtNode(pending->node, pending->life, delay,
+           [this, pending, result = std::move(result)] {
+             if (std::exchange(pending->is_ended, true)) {
+               return;
+             }
+             if (const auto* reply = std::get_if<PeerReply>(&result)) {
+               Count(pending->node, reply_sizer_ ? reply_sizer_(*reply) : 0);
+             }
+             ControlActions actions;
+             nodes_[pending->node].keeper->OnPeerReplied(pending->call, result,
+                                                         now_, actions);
+             Carry(pending->node, actions);
+           });
+  }
+
+  void CountPlatformCall() {
+    ++platform_calls_;
+    if (now_ - second_began_ >= std::chrono::seconds(1)) {
+      second_began_ = now_;
+      calls_in_second_ = 0;
+    }
+    most_calls_in_second_ = std::max(most_calls_in_second_, ++calls_in_second_);
+  }
+  std::optional<PlatformValue> Find(const std::string& name,
+                                    std::uint64_t after) const {
+    const auto& values =
+        mode_ == PlatformMode::kStale ? stale_values_ : values_;
+    const auto found = values.find(name);
+    if (mode_ == PlatformMode::kDown || found == values.end() ||
+        found->second.revision <= after) {
+      return std::nullopt;
+    }
+    return found->second;
+  }
+  void AnswerPlatform(std::size_t i,
+                      std::uint64_t life,
+                      const std::string& name,
+                      const std::optional<PlatformValue>& value) {
+    const bool is_reached = mode_ != PlatformMode::kDown;
+    AtNode(i, life, Latency() + platform_delay_,
+           [this, i, name, value, is_reached] {
+             ControlActions actions;
+             nodes_[i].keeper->OnPlatformValue(name, value, is_reached, now_,
+                                               actions);
+             Carry(i, actions);
+           });
+  }
+  void CarryRead(std::size_t i, const std::string& name) {
+    CountPlatformCall();
+    AnswerPlatform(i, nodes_[i].life, name, Find(name, 0));
+  }
+  void CarryWatch(std::size_t i, const WatchPlatform& watch) {
+    CountPlatformCall();
+    auto open = std::make_shared<Watch>(
+        Watch{i, nodes_[i].life, watch.name, watch.after, false});
+    watches_.push_back(open);
+    At(watch.wait, [this, open] { EndWatch(*open); });
+    EndWatches();
+  }
+  void EndWatches() {
+    for (const auto& watch : watches_) {
+      if (mode_ == PlatformMode::kDown || Find(watch->name, watch->after)) {
+        EndWatch(*watch);
+      }
+    }
+    std::erase_if(watches_, [](const auto& watch) { return watch->is_ended; });
+  }
+  void EndWatch(Watch& watch) {
+    if (!std::exchange(watch.is_ended, true)) {
+      AnswerPlatform(watch.node, watch.life, watch.name,
+                     Find(watch.name, watch.after));
+    }
+  }
+
+  const Options options_;
+  std::mt19937_64 random_;
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t sequence_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<Node> nodes_;
+  std::map<PeerAddress, std::size_t> addresses_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  Sizer sizer_;
+  ReplySizer reply_sizer_;
+
+  PlatformMode mode_ = PlatformMode::kOk;
+  milliseconds platform_delay_{0};
+  std::map<std::string, PlatformValue> values_;
+  std::map<std::string, PlatformValue> stale_values_;
+  std::uint64_t revision_ = 0;
+  std::vector<std::shared_ptr<Watch>> watches_;
+  std::uint64_t platform_calls_ = 0;
+  std::uint64_t calls_in_second_ = 0;
+  std::uint64_t most_calls_in_second_ = 0;
+  TimePoint second_began_;
+  std::map<ConfigVersion, std::map<std::string, std::uint64_t>> published_;
+};
+
+}  // namespace vanillafall
+
+#endif  // CONTROL_KEEPER_FLEET_FAKE_H_
