--- a/packages/config/document.cc
+++ b/packages/config/document.cc
@@ -32,7 +32,10 @@
 }
 
 json ToJson(const GuardSet& set) {
-  return {{"number", set.service_number}, {"guards", set.guards}};
+  return {{"number", set.service_number},
+          {"guards", set.guards},
+          {"resend_window_ms", set.resend_window.count()},
+          {"replaced_at_ms", set.replaced_at.count()}};
 }
 
 Route RouteFrom(const json& value) {
@@ -45,7 +48,11 @@
 }
 
 GuardSet GuardSetFrom(const json& value) {
-  return {value.at("number"), value.at("guards")};
+  return {value.at("number"), value.at("guards"),
+          std::chrono::milliseconds(
+              value.at("resend_window_ms").get<std::int64_t>()),
+          std::chrono::milliseconds(
+              value.at("replaced_at_ms").get<std::int64_t>())};
 }
 
 template <typename T>
--- a/packages/config/fleet_config.h
+++ b/packages/config/fleet_config.h
@@ -41,10 +41,14 @@
 // without protection against the caller's own resend.
 enum class MissingKeyRule : std::uint8_t { kRefuse, kRunOnce };
 
-// The daemons that guarded the service's keys under one document number.
+// The daemons that guarded the service's keys under one document number, the
+// resend window that it promised, and when a newer document was made (since the
+// Unix epoch).
 struct GuardSet {
   std::uint64_t service_number = 0;
   std::vector<PeerAddress> guards;
+  std::chrono::milliseconds resend_window{0};
+  std::chrono::milliseconds replaced_at{0};
 
   friend bool operator==(const GuardSet&, const GuardSet&) = default;
 };
--- a/packages/operator/bundle.cc
+++ b/packages/operator/bundle.cc
@@ -11,7 +11,10 @@
 namespace vanillafall {
 namespace {
 
-constexpr std::size_t kMostFormerGuardSets = 8;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostFormerGuardSets = 64;
+constexpr milliseconds kFormerGuardsKept = std::chrono::hours(24);
 
 std::optional<ServiceConfig> PreviousOf(
     const std::string& name,
@@ -22,7 +25,8 @@
 
 // Gives the service the next number if its content differs from before.
 void Number(ServiceConfig& service,
-            const std::optional<ServiceConfig>& previous) {
+            const std::optional<ServiceConfig>& previous,
+            milliseconds published_at) {
   if (!previous) {
     service.number = 1;
     return;
@@ -33,11 +37,15 @@
     return;
   }
   service.number = previous->number + 1;
-  if (service.Owners() != previous->Owners()) {
-    service.former_guards.push_back({previous->number, previous->Owners()});
-  }
-  if (service.former_guards.size() > kMostFormerGuardSets) {
-    service.former_guards.erase(service.former_guards.begin());
+  std::erase_if(service.former_guards, [published_at](const GuardSet& set) {
+    return set.replaced_at + kFormerGuardsKept < published_at;
+  });
+  // A shorter window must not shorten what was promised for keys in use.
+  const bool is_former_needed = service.Owners() != previous->Owners() ||
+                                service.resend_window < previous->resend_window;
+  if (is_former_needed) {
+    service.former_guards.push_back({previous->number, previous->Owners(),
+                                     previous->resend_window, published_at});
   }
 }
 
@@ -63,7 +71,8 @@
 }  // namespace
 
 Bundle MakeBundle(const std::vector<ServiceFile>& files,
-                  const std::map<std::string, std::string>& previous) {
+                  const std::map<std::string, std::string>& previous,
+                  WallTime published_at) {
   Bundle bundle;
   std::set<std::string> names;
   for (const ServiceFile& file : files) {
@@ -78,7 +87,17 @@
       continue;
     }
     ServiceConfig& service = parsed.value;
-    Number(service, PreviousOf(ServiceDocumentName(service.name), previous));
+    Number(service, PreviousOf(ServiceDocumentName(service.name), previous),
+           std::chrono::duration_cast<milliseconds>(
+               published_at.time_since_epoch()));
+    if (service.former_guards.size() > kMostFormerGuardSets) {
+      bundle.problems.push_back(
+          {file.file, 0, "backend_server",
+           std::to_string(service.former_guards.size()) +
+               " changes of owners within a day",
+           "at most " + std::to_string(kMostFormerGuardSets)});
+      continue;
+    }
     AddDocument(service.name, service.number, EncodeService(service), bundle);
   }
   KeepPrevious(previous, bundle);
--- a/packages/operator/bundle.h
+++ b/packages/operator/bundle.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "config/fleet_config.h"
 #include "config/problem.h"
 
@@ -27,8 +28,14 @@
 // numbers: a service whose content is unchanged keeps its document, a changed
 // one gets the next number. A file with problems keeps its service's previous
 // document and stops no other.
+//
+// A document names the former sets of guards for a day after they were
+// replaced: a daemon that is cut off may hold a former document for hours. A
+// change that would need more sets than a document holds is a problem; it waits
+// until the oldest set may go.
 Bundle MakeBundle(const std::vector<ServiceFile>& files,
-                  const std::map<std::string, std::string>& previous);
+                  const std::map<std::string, std::string>& previous,
+                  WallTime published_at);
 
 }  // namespace vanillafall
 
--- a/packages/operator/commands.cc
+++ b/packages/operator/commands.cc
@@ -107,7 +107,8 @@
   line.parse(copy);
   fs::create_directories(out.getValue());
   const Bundle bundle = MakeBundle(ReadServiceFiles(from.getValue()),
-                                   ReadDocuments(out.getValue()));
+                                   ReadDocuments(out.getValue()),
+                                   SystemClock().wall_now());
   Print(bundle.problems);
   for (const auto& [name, body] : bundle.documents) {
     std::ofstream(fs::path(out.getValue()) / (name + ".json")) << body;
