--- /dev/null
+++ b/models/keys.pml
@@ -0,0 +1,246 @@
+/* The protocol by which one key is granted, for the Spin model checker.
+ *
+ * Two documents are in force at once. Document 1 has the guards 0, 1 and 2,
+ * document 2 the guards 1, 2 and 3. Attempts ask for the key, run it when they
+ * may, or give up at any moment; messages between an attempt and a guard are
+ * late and out of order; guards restart and forget. An attempt that is paused
+ * is one that makes no step for a while. A lost message is one that is never
+ * delivered, and a lost grant is one that the attempt does not use.
+ *
+ * The time is the resend window of the key: everything happens within it. So a
+ * guard that restarts abstains to the end, and a former guard set counts as
+ * retired only if a majority of it had moved on before the key was first used.
+ *
+ * Checked: the key runs at most once; when an attempt has proved `not run`, the
+ * key has not run; no attempt that gave up holds a guard for ever.
+ *
+ * With -DLATE_VOTES, votes still arrive after their attempt gave up, within one
+ * document and without restarts. Without it they are dropped then: such a vote
+ * can only keep others from the key.
+ *
+ * Each rule can be taken away to see that the check finds the fault:
+ *   -DNO_JOINT_RULE     only the guards of the attempt's own document are asked
+ *   -DRETIRE_AT_ONCE    a former set retires as soon as a majority moved on
+ *   -DNO_ABSTENTION     a guard that restarted grants at once
+ *   -DNO_STALE_REFUSAL  guards grant to attempts of an older document
+ *   -DNO_RELEASE_MEMORY a guard forgets releases that overtook their votes
+ *   -DMINORITY          one grant of each set is enough
+ */
+
+#define GUARDS 4
+#define ATTEMPTS 2
+#ifdef LATE_VOTES
+#define RESTARTS 0
+#else
+#define RESTARTS 2
+#endif
+#define AT(a, g) ((a) * GUARDS + (g))
+#define NOBODY 255
+
+#ifdef MINORITY
+#define MAJORITY 1
+#else
+#define MAJORITY 2
+#endif
+
+byte guard_document[GUARDS];
+byte holder[GUARDS] = NOBODY;
+bool abstains[GUARDS];
+bool is_retired;
+byte restarts;
+
+byte attempt_document[ATTEMPTS];
+bool skips_former[ATTEMPTS];
+bool has_ended[ATTEMPTS];
+bool vote_sent[ATTEMPTS * GUARDS];
+bool is_granted[ATTEMPTS * GUARDS];
+bool release_sent[ATTEMPTS * GUARDS];
+bool is_released[ATTEMPTS * GUARDS];
+bool gave_up[ATTEMPTS];
+
+byte runs;
+
+#define MOVED_ON(g) (guard_document[g] == 2 -> 1 : 0)
+#define FORMER_MOVED_ON (MOVED_ON(0) + MOVED_ON(1) + MOVED_ON(2) >= 2)
+#define GRANTS(a, g) (is_granted[AT(a, g)] -> 1 : 0)
+#define HAS_FORMER(a) \
+  (GRANTS(a, 0) + GRANTS(a, 1) + GRANTS(a, 2) >= MAJORITY)
+#define HAS_CURRENT(a) \
+  (GRANTS(a, 1) + GRANTS(a, 2) + GRANTS(a, 3) >= MAJORITY)
+#define MAY_RUN(a)                                       \
+  ((attempt_document[a] == 1 && HAS_FORMER(a)) ||        \
+   (attempt_document[a] == 2 && HAS_CURRENT(a) &&        \
+    (skips_former[a] || HAS_FORMER(a))))
+
+inline ask(a) {
+  byte g = 0;
+  do
+  :: g < GUARDS ->
+     vote_sent[AT(a, g)] = !(attempt_document[a] == 1 && g == 3) &&
+                           !(skips_former[a] && g == 0);
+     g++
+  :: else -> break
+  od
+}
+
+/* A release to a guard that refused changes nothing, so none is sent. */
+inline give_up(a) {
+  byte h = 0;
+  gave_up[a] = true;
+  do
+  :: h < GUARDS ->
+#ifdef LATE_VOTES
+     release_sent[AT(a, h)] = vote_sent[AT(a, h)] || holder[h] == a;
+#else
+     release_sent[AT(a, h)] = holder[h] == a;
+     vote_sent[AT(a, h)] = false;
+#endif
+     is_granted[AT(a, h)] = false;
+     h++
+  :: else -> break
+  od
+}
+
+proctype Attempt(byte a) {
+  atomic {
+#ifdef NO_JOINT_RULE
+    skips_former[a] = attempt_document[a] == 2;
+#elif defined(RETIRE_AT_ONCE)
+    skips_former[a] = attempt_document[a] == 2 && FORMER_MOVED_ON;
+#else
+    skips_former[a] = attempt_document[a] == 2 && is_retired;
+#endif
+    ask(a)
+  }
+  if
+  :: atomic {
+       MAY_RUN(a) ->
+       if
+       /* Runs; its grants are kept to the end of the window. */
+       :: runs++;
+          assert(runs <= 1)
+       /* Wanted only the proof of `not run`, and gives the grants back. */
+       :: assert(runs == 0);
+          give_up(a)
+       fi
+     }
+  :: atomic { true -> give_up(a) }
+  fi;
+  has_ended[a] = true
+}
+
+inline on_vote(a, g) {
+  vote_sent[AT(a, g)] = false;
+  if
+#ifndef NO_STALE_REFUSAL
+  :: attempt_document[a] < guard_document[g] -> skip
+#endif
+  :: else ->
+     if
+     :: holder[g] == NOBODY && !abstains[g] && !is_released[AT(a, g)] ->
+        holder[g] = a;
+        is_granted[AT(a, g)] = !gave_up[a]
+     :: else -> skip
+     fi
+  fi;
+  is_released[AT(a, g)] = false
+}
+
+inline on_release(a, g) {
+  release_sent[AT(a, g)] = false;
+  if
+  :: holder[g] == a -> holder[g] = NOBODY
+  :: else ->
+#ifdef NO_RELEASE_MEMORY
+     skip
+#else
+     is_released[AT(a, g)] = vote_sent[AT(a, g)]
+#endif
+  fi
+}
+
+inline restart(g) {
+  restarts++;
+  holder[g] = NOBODY;
+#ifndef NO_ABSTENTION
+  abstains[g] = true;
+#endif
+  /* The platform may still serve the older document. */
+  if
+  :: guard_document[g] = 1
+  :: skip
+  fi
+}
+
+/* A step that no attempt can notice is left out. */
+#define IS_OPEN (!has_ended[0] || !has_ended[1])
+#ifdef RETIRE_AT_ONCE
+#define MATTERS_TO_MOVE(g) (IS_OPEN && guard_document[g] == 1)
+#else
+#define MATTERS_TO_MOVE(g)                                     \
+  (guard_document[g] == 1 &&                                   \
+   ((vote_sent[AT(0, g)] && attempt_document[0] == 1) ||       \
+    (vote_sent[AT(1, g)] && attempt_document[1] == 1)))
+#endif
+#define MATTERS_TO_RESTART(g) \
+  (IS_OPEN && restarts < RESTARTS && holder[g] != NOBODY)
+
+proctype Guard(byte g) {
+end:
+  do
+  :: atomic { vote_sent[AT(0, g)] -> on_vote(0, g) }
+  :: atomic { vote_sent[AT(1, g)] -> on_vote(1, g) }
+  :: atomic { release_sent[AT(0, g)] -> on_release(0, g) }
+  :: atomic { release_sent[AT(1, g)] -> on_release(1, g) }
+  :: atomic { MATTERS_TO_MOVE(g) -> guard_document[g] = 2 }
+  :: atomic { MATTERS_TO_RESTART(g) -> restart(g) }
+  od
+}
+
+#define IS_STUCK(a, g)                                                \
+  (gave_up[a] && has_ended[a] && holder[g] == a &&                    \
+   !vote_sent[AT(a, g)] && !release_sent[AT(a, g)])
+
+/* A guard that is held by an attempt which gave up, with no message on its way
+ * that could free it. */
+active proctype NoGuardIsStuck() {
+end:
+  atomic {
+    IS_STUCK(0, 0) || IS_STUCK(0, 1) || IS_STUCK(0, 2) || IS_STUCK(0, 3) ||
+    IS_STUCK(1, 0) || IS_STUCK(1, 1) || IS_STUCK(1, 2) || IS_STUCK(1, 3) ->
+    assert(false)
+  }
+}
+
+/* Guards 1 and 2 are alike, and so are the attempts; a guard that holds
+ * document 1 here may move on at any moment. */
+init {
+  byte i = 0;
+  atomic {
+    if
+    :: attempt_document[0] = 1; attempt_document[1] = 1
+#ifndef LATE_VOTES
+    :: attempt_document[0] = 1; attempt_document[1] = 2
+    :: attempt_document[0] = 2; attempt_document[1] = 2
+#endif
+    fi;
+    guard_document[0] = 1;
+    guard_document[1] = 1;
+    guard_document[2] = 1;
+    guard_document[3] = 1;
+    if
+    :: skip
+#ifndef LATE_VOTES
+    :: guard_document[0] = 2; guard_document[1] = 2
+    :: guard_document[1] = 2; guard_document[2] = 2
+#endif
+    fi;
+    is_retired = FORMER_MOVED_ON;
+    do
+    :: i < GUARDS -> run Guard(i); i++
+    :: else -> break
+    od;
+    run Attempt(0);
+    run Attempt(1)
+  }
+}
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -30,8 +30,10 @@
 }
 
 Engine::Identity EngineIdentity(const Settings& settings) {
+  const auto started_at = std::chrono::duration_cast<std::chrono::milliseconds>(
+      SystemClock().wall_now().time_since_epoch());
   return {settings.peer_address, settings.data_centre, DrawNumber(),
-          DrawNumber()};
+          DrawNumber(), started_at};
 }
 
 ConfigKeeper::Identity KeeperIdentity(const Settings& settings) {
--- a/packages/decision/engine.cc
+++ b/packages/decision/engine.cc
@@ -16,16 +16,24 @@
                TimePoint started)
     : self_(identity.self),
       random_(identity.seed),
-      guard_(identity.self, limits.max_keys, started),
+      pauses_(started),
+      guard_(identity.self, limits.max_keys, started, identity.started_at),
       owner_(identity.self, limits, identity.incarnation, *this),
-      entry_(identity.data_centre, limits.max_requests, *this) {}
+      entry_(identity.data_centre, limits.max_requests, *this),
+      proof_(identity.self, identity.incarnation, limits.max_keys, *this) {}
 
 void Engine::Handle(const Event& event, TimePoint now, Actions& actions) {
-  Dispatch(event, now, actions);
+  const std::size_t first = actions.size();
+  pauses_.OnEvent(now);
+  if (!TurnAwayOld(event, now, actions)) {
+    Dispatch(event, now, actions);
+  }
+  proof_.Hold(first, now, actions);
   while (!loopback_.empty()) {
     const Event next = std::move(loopback_.front());
     loopback_.pop_front();
     Dispatch(next, now, actions);
+    proof_.Hold(first, now, actions);
   }
 }
 
@@ -38,7 +46,7 @@
 }
 
 std::size_t Engine::unfinished_count() const {
-  return entry_.request_count() + owner_.work_count();
+  return entry_.request_count() + owner_.work_count() + proof_.held_count();
 }
 
 PeerCallId Engine::Ask(const PeerAddress& peer,
@@ -80,6 +88,7 @@
     owner_.OnDrainChanged(*drain, now, actions);
   } else {
     owner_.Advance(now, actions);
+    proof_.Advance(now, actions);
     guard_.Expire(now);
   }
 }
@@ -108,6 +117,9 @@
 void Engine::OnPeerReplied(const PeerReplied& replied,
                            TimePoint now,
                            Actions& actions) {
+  if (proof_.OnPeerReply(replied.call, replied.result, now, actions)) {
+    return;
+  }
   if (!entry_.Owns(replied.call)) {
     owner_.OnPeerReplied(replied, now, actions);
     return;
@@ -135,6 +147,36 @@
   guard_.Configure(*config, now);
   owner_.Configure(config, now, actions);
   entry_.Configure(config);
+  proof_.Configure(config);
+}
+
+bool Engine::TurnAwayOld(const Event& event, TimePoint now, Actions& actions) {
+  if (!pauses_.IsWaking(now)) {
+    return false;
+  }
+  if (const auto* asked = std::get_if<PeerAsked>(&event)) {
+    const auto* run = std::get_if<RunRequest>(&asked->request);
+    if (run == nullptr || !run->key) {
+      return false;
+    }
+    RunReply reply;
+    reply.reason = Reason::kOverloaded;
+    Reply(asked->call, std::move(reply), actions);
+    return true;
+  }
+  const auto* request = std::get_if<CallerRequest>(&event);
+  const bool is_keyed =
+      request != nullptr &&
+      !FindHeader(request->request.headers, kKeyHeader).empty();
+  if (!is_keyed) {
+    return false;
+  }
+  AnswerCaller answer;
+  answer.id = request->id;
+  answer.outcome = Outcome::kUnknown;
+  answer.reason = Reason::kOverloaded;
+  actions.emplace_back(std::move(answer));
+  return true;
 }
 
 VoteReply Engine::OnVote(const VoteRequest& request, TimePoint now) {
--- a/packages/decision/engine.h
+++ b/packages/decision/engine.h
@@ -11,6 +11,8 @@
 #include "decision/entry.h"
 #include "decision/event.h"
 #include "decision/execution_guard.h"
+#include "decision/key_proof.h"
+#include "decision/key_retention.h"
 #include "decision/owner.h"
 #include "decision/peer_caller.h"
 
@@ -26,6 +28,8 @@
     // Drawn anew by each process.
     std::uint64_t incarnation = 0;
     std::uint64_t seed = 0;
+    // Civil time of the start, since the Unix epoch; 0 when it is not known.
+    std::chrono::milliseconds started_at{0};
   };
 
   Engine(const Identity& identity, const Limits& limits, TimePoint started);
@@ -59,6 +63,9 @@
   void OnConfigChanged(const FleetConfigPtr& config,
                        TimePoint now,
                        Actions& actions);
+  // Keyed work whose age is not known, because this process has just been
+  // paused, is turned away; false when the event is to be handled as usual.
+  bool TurnAwayOld(const Event& event, TimePoint now, Actions& actions);
   VoteReply OnVote(const VoteRequest& request, TimePoint now);
   void OnSettle(const SettleNotice& notice, TimePoint now);
 
@@ -69,9 +76,11 @@
   // Events of this daemon to itself, handled before Handle returns.
   std::deque<Event> loopback_;
   std::unordered_set<PeerCallId> loopback_calls_;
+  PauseDetector pauses_;
   ExecutionGuard guard_;
   Owner owner_;
   Entry entry_;
+  KeyProof proof_;
 };
 
 }  // namespace vanillafall
--- a/packages/decision/entry.cc
+++ b/packages/decision/entry.cc
@@ -238,6 +238,10 @@
   answer.service = pending.run.service;
   answer.request_class = pending.run.request_class;
   answer.tenant = pending.run.tenant;
+  if (pending.run.key) {
+    answer.claim = KeyClaim{pending.run.service, *pending.run.key,
+                            pending.run.fingerprint, pending.run.key_time};
+  }
   actions.emplace_back(std::move(answer));
   pending_.erase(id);
 }
--- a/packages/decision/event.h
+++ b/packages/decision/event.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -93,6 +94,15 @@
 
 // ---- Actions ----
 
+// What a non-idempotent request with a key is known by to the key's guards.
+struct KeyClaim {
+  std::string service;
+  Hash128 key;
+  Hash128 fingerprint;
+  // As in RunRequest.
+  std::chrono::milliseconds key_time{0};
+};
+
 struct AnswerCaller {
   RequestId id = 0;
   Outcome outcome = Outcome::kNotRun;
@@ -102,6 +112,9 @@
   std::string service;
   std::string request_class;
   std::string tenant;
+  // Present when the request carried a key: before the caller is told kNotRun,
+  // the key's guards must show that no other request ran it.
+  std::optional<KeyClaim> claim;
 };
 
 // Ends with a PeerReplied of the same call within the timeout.
--- a/packages/decision/execution_guard.cc
+++ b/packages/decision/execution_guard.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "decision/key_retention.h"
 #include "decision/vote_round.h"
 
 namespace vanillafall {
@@ -11,12 +12,19 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// Longer than any message between daemons is on its way.
+constexpr milliseconds kReleaseMemory{60'000};
+
 }  // namespace
 
 ExecutionGuard::ExecutionGuard(PeerAddress self,
                                std::size_t max_keys,
-                               TimePoint started)
-    : self_(std::move(self)), max_keys_(max_keys), started_(started) {}
+                               TimePoint started,
+                               milliseconds started_at)
+    : self_(std::move(self)),
+      max_keys_(max_keys),
+      started_(started),
+      started_at_(started_at) {}
 
 void ExecutionGuard::Configure(const FleetConfig& config, TimePoint now) {
   for (const auto& [name, service] : config.services) {
@@ -53,7 +61,9 @@
     reply.settled = grant.settled;
     return reply;
   }
-  if (IsAbstaining(request.key, service, now)) {
+  const bool is_repeated = found != keys_.end() && found->second.settled;
+  if (is_repeated || released_.contains(request.attempt) ||
+      IsAbstaining(request, service, now)) {
     reply.result = VoteResult::kAbstained;
     return reply;
   }
@@ -61,8 +71,13 @@
     reply.result = VoteResult::kTableFull;
     return reply;
   }
-  keys_[request.key] = {request.fingerprint, request.attempt, request.owner,
-                        std::nullopt};
+  Grant& grant = keys_[request.key];
+  grant.fingerprint = request.fingerprint;
+  grant.attempt = request.attempt;
+  grant.owner = request.owner;
+  const bool is_newer = request.service_number > held.number;
+  Keep(request.key, grant,
+       now + (is_newer ? kMostRetention : RetentionOf(service)));
   reply.result = VoteResult::kGranted;
   return reply;
 }
@@ -71,7 +86,12 @@
                             const ServiceConfig& service,
                             TimePoint now) {
   const auto found = keys_.find(notice.key);
-  if (found == keys_.end() || found->second.attempt != notice.attempt) {
+  const bool is_held =
+      found != keys_.end() && found->second.attempt == notice.attempt;
+  if (!is_held) {
+    if (notice.outcome == Outcome::kNotRun && released_.size() < max_keys_) {
+      released_[notice.attempt] = now + kReleaseMemory;
+    }
     return;
   }
   if (notice.outcome == Outcome::kNotRun) {
@@ -79,28 +99,30 @@
     return;
   }
   found->second.settled = notice.outcome;
-  expiries_.push_back(
-      {now + service.resend_window, notice.key, notice.attempt});
+  Keep(notice.key, found->second, now + RetentionOf(service));
 }
 
 void ExecutionGuard::Expire(TimePoint now) {
-  while (!expiries_.empty() && expiries_.front().at <= now) {
-    const auto found = keys_.find(expiries_.front().key);
-    if (found != keys_.end() &&
-        found->second.attempt == expiries_.front().attempt) {
+  while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    const auto found = keys_.find(expiries_.begin()->second);
+    if (found != keys_.end() && found->second.kept_until <= now) {
       keys_.erase(found);
     }
-    expiries_.pop_front();
+    expiries_.erase(expiries_.begin());
   }
+  std::erase_if(released_,
+                [now](const auto& entry) { return entry.second <= now; });
 }
 
-bool ExecutionGuard::IsAbstaining(const Hash128& key,
+bool ExecutionGuard::IsAbstaining(const VoteRequest& request,
                                   const ServiceConfig& service,
                                   TimePoint now) const {
-  if (now < started_ + service.resend_window) {
+  const bool may_have_forgotten = now < started_ + RetentionOf(service);
+  if (may_have_forgotten && !IsYoungerThanSelf(request.key_time, now)) {
     return true;
   }
-  const std::vector<PeerAddress> group = GuardsOfKey(key, service.Owners());
+  const std::vector<PeerAddress> group =
+      GuardsOfKey(request.key, service.Owners());
   const std::size_t needed = group.size() - MajorityOf(group.size()) + 1;
   const auto heard = static_cast<std::size_t>(
       std::count_if(group.begin(), group.end(), [this](const auto& guard) {
@@ -109,4 +131,20 @@
   return heard < std::min(needed, group.size() - 1);
 }
 
+// A time in the future shows that the caller's clock is wrong, so that nothing
+// follows from it.
+bool ExecutionGuard::IsYoungerThanSelf(milliseconds key_time,
+                                       TimePoint now) const {
+  const milliseconds wall_now =
+      started_at_ + duration_cast<milliseconds>(now - started_);
+  return started_at_ > milliseconds(0) &&
+         key_time > started_at_ + kMostClockSkew &&
+         key_time <= wall_now + kMostClockSkew;
+}
+
+void ExecutionGuard::Keep(const Hash128& key, Grant& grant, TimePoint until) {
+  grant.kept_until = std::max(grant.kept_until, until);
+  expiries_.emplace(grant.kept_until, key);
+}
+
 }  // namespace vanillafall
--- a/packages/decision/execution_guard.h
+++ b/packages/decision/execution_guard.h
@@ -4,11 +4,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "base/clock.h"
 #include "config/fleet_config.h"
@@ -21,11 +22,21 @@
 // time, so two attempts can never both hold a majority.
 //
 // A guard that has just started does not know what its predecessor granted. It
-// abstains for the service's resend window, and until enough of the other
-// guards have shown it that its configuration is current.
+// abstains for the service's retention (see key_retention.h), and until enough
+// of the other guards have shown it that its configuration is current. A key
+// that carries a time after the guard's own start needs no wait: no predecessor
+// can have granted it.
+//
+// A grant is kept for the retention, whether or not the guard was told how the
+// attempt ended: after that no caller may resend the key.
 class ExecutionGuard {
  public:
-  ExecutionGuard(PeerAddress self, std::size_t max_keys, TimePoint started);
+  // The civil time of the start is since the Unix epoch; 0 when it is unknown,
+  // which makes every key wait.
+  ExecutionGuard(PeerAddress self,
+                 std::size_t max_keys,
+                 TimePoint started,
+                 std::chrono::milliseconds started_at);
 
   // Notes the service's number, so that votes routed by an older document are
   // refused. Call on every change of configuration.
@@ -39,12 +50,14 @@
                  TimePoint now);
 
   // The attempt has ended. Outcome kNotRun releases the key; the others keep
-  // it for the resend window.
+  // it for the retention. A release of an attempt that holds nothing is
+  // remembered for a while, so that its vote can't arrive after it and take the
+  // key for ever.
   void Settle(const SettleNotice& notice,
               const ServiceConfig& service,
               TimePoint now);
 
-  // Forgets settled keys whose resend window has passed.
+  // Forgets keys whose retention has passed.
   void Expire(TimePoint now);
 
   std::size_t key_count() const { return keys_.size(); }
@@ -55,28 +68,38 @@
     AttemptId attempt;
     PeerAddress owner;
     std::optional<Outcome> settled;
-  };
-  struct Expiry {
-    TimePoint at;
-    Hash128 key;
-    AttemptId attempt;
+    TimePoint kept_until;
   };
   struct ServiceNumber {
     std::uint64_t number = 0;
     TimePoint since;
   };
 
-  bool IsAbstaining(const Hash128& key,
+  struct AttemptOrder {
+    bool operator()(const AttemptId& a, const AttemptId& b) const {
+      return std::pair(a.incarnation, a.sequence) <
+             std::pair(b.incarnation, b.sequence);
+    }
+  };
+
+  bool IsAbstaining(const VoteRequest& request,
                     const ServiceConfig& service,
                     TimePoint now) const;
+  bool IsYoungerThanSelf(std::chrono::milliseconds key_time,
+                         TimePoint now) const;
+  void Keep(const Hash128& key, Grant& grant, TimePoint until);
 
   const PeerAddress self_;
   const std::size_t max_keys_;
   const TimePoint started_;
+  const std::chrono::milliseconds started_at_;
   std::set<PeerAddress> up_to_date_peers_;
   std::map<std::string, ServiceNumber, std::less<>> service_numbers_;
   std::unordered_map<Hash128, Grant> keys_;
-  std::deque<Expiry> expiries_;
+  std::multimap<TimePoint, Hash128> expiries_;
+  // Attempts that were released before their vote arrived, by the time at which
+  // they are forgotten.
+  std::map<AttemptId, TimePoint, AttemptOrder> released_;
 };
 
 }  // namespace vanillafall
--- /dev/null
+++ b/packages/decision/execution_guard_test.cc
@@ -0,0 +1,208 @@
+#include "decision/execution_guard.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "decision/key_retention.h"
+#include "decision/vote_round.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr milliseconds kWindow = minutes(15);
+constexpr milliseconds kStartedAt{1'790'000'000'000};
+constexpr TimePoint kStart{std::chrono::hours(10)};
+const Hash128 kKey{1, 2};
+const Hash128 kBody{3, 4};
+
+ServiceConfig ServiceWithOwners(std::size_t count) {
+  ServiceConfig service;
+  service.name = "restyle";
+  service.number = 7;
+  service.resend_window = kWindow;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string name = "b" + std::to_string(i);
+    service.backend_servers.push_back({name, name, "o" + std::to_string(i)});
+  }
+  return service;
+}
+
+FleetConfig ConfigWith(const ServiceConfig& service) {
+  FleetConfig config;
+  config.services[service.name] = service;
+  return config;
+}
+
+VoteRequest VoteOf(std::uint64_t attempt) {
+  VoteRequest vote;
+  vote.service = "restyle";
+  vote.key = kKey;
+  vote.fingerprint = kBody;
+  vote.attempt = {attempt, 1};
+  vote.owner = "o1";
+  vote.service_number = 7;
+  return vote;
+}
+
+// A guard of a service with five owners, which has heard from all of them.
+class GuardFixture {
+ protected:
+  explicit GuardFixture(std::size_t max_keys = 10)
+      : guard_("o0", max_keys, kStart, kStartedAt) {
+    guard_.Configure(ConfigWith(service_), kStart);
+    for (const char* peer : {"o1", "o2", "o3", "o4"}) {
+      guard_.OnPeerUpToDate(peer);
+    }
+  }
+
+  VoteResult Vote(const VoteRequest& vote, TimePoint now) {
+    return guard_.Vote(vote, service_, now).result;
+  }
+  void Settle(std::uint64_t attempt, Outcome outcome, TimePoint now) {
+    guard_.Settle({"restyle", kKey, {attempt, 1}, outcome}, service_, now);
+  }
+
+  const ServiceConfig service_ = ServiceWithOwners(5);
+  const TimePoint ready_ = kStart + RetentionOf(service_);
+  ExecutionGuard guard_;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(GuardFixture, "a guard that has just started abstains") {
+  CHECK(Vote(VoteOf(1), ready_ - milliseconds(1)) == VoteResult::kAbstained);
+  CHECK(Vote(VoteOf(1), ready_) == VoteResult::kGranted);
+}
+
+TEST_CASE_METHOD(GuardFixture,
+                 "a key that is younger than the guard needs no wait") {
+  const TimePoint now = kStart + seconds(60);
+  VoteRequest vote = VoteOf(1);
+
+  vote.key_time = kStartedAt + kMostClockSkew;
+  CHECK(Vote(vote, now) == VoteResult::kAbstained);
+
+  vote.key_time = kStartedAt + seconds(60) + kMostClockSkew + milliseconds(1);
+  CHECK(Vote(vote, now) == VoteResult::kAbstained);
+
+  vote.key_time = kStartedAt + kMostClockSkew + milliseconds(1);
+  CHECK(Vote(vote, now) == VoteResult::kGranted);
+}
+
+TEST_CASE("a guard that knows no civil time lets every key wait") {
+  const ServiceConfig service = ServiceWithOwners(1);
+  ExecutionGuard guard("o0", 10, kStart, milliseconds(0));
+  guard.Configure(ConfigWith(service), kStart);
+  VoteRequest vote = VoteOf(1);
+  vote.key_time = kStartedAt;
+  CHECK(guard.Vote(vote, service, kStart + seconds(60)).result ==
+        VoteResult::kAbstained);
+}
+
+TEST_CASE("a guard that others have not shown to be current abstains") {
+  const ServiceConfig service = ServiceWithOwners(5);
+  const TimePoint ready = kStart + RetentionOf(service);
+  ExecutionGuard guard("o0", 10, kStart, kStartedAt);
+  guard.Configure(ConfigWith(service), kStart);
+  for (const char* peer : {"o1", "o2"}) {
+    guard.OnPeerUpToDate(peer);
+  }
+  CHECK(guard.Vote(VoteOf(1), service, ready).result == VoteResult::kAbstained);
+  guard.OnPeerUpToDate("o3");
+  CHECK(guard.Vote(VoteOf(1), service, ready).result == VoteResult::kGranted);
+}
+
+TEST_CASE_METHOD(GuardFixture, "a key is granted to one attempt at a time") {
+  REQUIRE(Vote(VoteOf(1), ready_) == VoteResult::kGranted);
+  CHECK(Vote(VoteOf(2), ready_) == VoteResult::kTaken);
+  VoteRequest other_body = VoteOf(2);
+  other_body.fingerprint = {9, 9};
+  CHECK(Vote(other_body, ready_) == VoteResult::kOtherBody);
+  Settle(1, Outcome::kNotRun, ready_);
+  CHECK(Vote(VoteOf(2), ready_) == VoteResult::kGranted);
+}
+
+TEST_CASE_METHOD(GuardFixture, "a release that overtakes its vote stays") {
+  Settle(1, Outcome::kNotRun, ready_);
+  CHECK(Vote(VoteOf(1), ready_ + seconds(3)) == VoteResult::kAbstained);
+  CHECK(Vote(VoteOf(2), ready_ + seconds(3)) == VoteResult::kGranted);
+}
+
+TEST_CASE_METHOD(GuardFixture,
+                 "a release of another attempt leaves the grant alone") {
+  REQUIRE(Vote(VoteOf(1), ready_) == VoteResult::kGranted);
+  Settle(2, Outcome::kNotRun, ready_);
+  CHECK(Vote(VoteOf(3), ready_) == VoteResult::kTaken);
+}
+
+TEST_CASE_METHOD(GuardFixture, "every grant is kept for the retention") {
+  const milliseconds retention = RetentionOf(service_);
+  REQUIRE(Vote(VoteOf(1), ready_) == VoteResult::kGranted);
+
+  SECTION("one that was never settled, from the grant") {
+    guard_.Expire(ready_ + retention - milliseconds(1));
+    CHECK(guard_.key_count() == 1);
+    guard_.Expire(ready_ + retention);
+    CHECK(guard_.key_count() == 0);
+  }
+  SECTION("one that was settled, from the settling") {
+    const TimePoint settled = ready_ + seconds(30);
+    Settle(1, Outcome::kDone, settled);
+    guard_.Expire(settled + retention - milliseconds(1));
+    CHECK(guard_.key_count() == 1);
+    guard_.Expire(settled + retention);
+    CHECK(guard_.key_count() == 0);
+  }
+}
+
+TEST_CASE_METHOD(
+    GuardFixture,
+    "a grant to a newer document outlives any window it may have") {
+  VoteRequest newer = VoteOf(1);
+  newer.service_number = 8;
+  REQUIRE(Vote(newer, ready_) == VoteResult::kGranted);
+  guard_.Expire(ready_ + kMostRetention - milliseconds(1));
+  CHECK(guard_.key_count() == 1);
+}
+
+TEST_CASE("a full table refuses and forgets nothing") {
+  const ServiceConfig service = ServiceWithOwners(1);
+  const TimePoint ready = kStart + RetentionOf(service);
+  ExecutionGuard guard("o0", 1, kStart, kStartedAt);
+  guard.Configure(ConfigWith(service), kStart);
+  REQUIRE(guard.Vote(VoteOf(1), service, ready).result == VoteResult::kGranted);
+  VoteRequest other = VoteOf(2);
+  other.key = {5, 6};
+  CHECK(guard.Vote(other, service, ready).result == VoteResult::kTableFull);
+  CHECK(guard.Vote(VoteOf(2), service, ready).result == VoteResult::kTaken);
+}
+
+TEST_CASE_METHOD(GuardFixture, "an attempt of an older document is refused") {
+  VoteRequest older = VoteOf(1);
+  older.service_number = 6;
+  CHECK(Vote(older, ready_) == VoteResult::kStaleConfig);
+}
+
+TEST_CASE("a shortened window counts with its former length") {
+  ServiceConfig service = ServiceWithOwners(1);
+  service.resend_window = seconds(1);
+  service.former_guards = {{6, {"o0"}, kWindow}};
+  CHECK(RetentionOf(service) == kWindow + kMostRequestAge);
+}
+
+TEST_CASE("a pause is noticed and ends") {
+  PauseDetector pauses(kStart);
+  pauses.OnEvent(kStart + PauseDetector::kLongestGap);
+  CHECK_FALSE(pauses.IsWaking(kStart + PauseDetector::kLongestGap));
+  const TimePoint woken = kStart + minutes(5);
+  pauses.OnEvent(woken);
+  CHECK(pauses.IsWaking(woken));
+  CHECK_FALSE(pauses.IsWaking(woken + PauseDetector::kWakeTime));
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/decision/key_proof.cc
@@ -0,0 +1,80 @@
+#include "decision/key_proof.h"
+
+#include <iterator>
+#include <utility>
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A caller that has been refused need not wait longer for the proof.
+constexpr milliseconds kProofTime{500};
+
+bool NeedsProof(const Action& action) {
+  const auto* answer = std::get_if<AnswerCaller>(&action);
+  return answer != nullptr && answer->claim &&
+         answer->outcome == Outcome::kNotRun;
+}
+
+}  // namespace
+
+KeyProof::KeyProof(PeerAddress self,
+                   std::uint64_t incarnation,
+                   std::size_t max_keys,
+                   PeerCaller& peers)
+    : keyed_(std::move(self),
+             incarnation,
+             KeyedExecution::Purpose::kProve,
+             max_keys,
+             peers,
+             *this) {}
+
+void KeyProof::Hold(std::size_t first, TimePoint now, Actions& actions) {
+  Actions questions;
+  for (std::size_t at = first; at < actions.size();) {
+    if (!NeedsProof(actions[at])) {
+      ++at;
+      continue;
+    }
+    const Ticket ticket = ++last_ticket_;
+    AnswerCaller answer = std::get<AnswerCaller>(std::move(actions[at]));
+    actions.erase(std::next(actions.begin(), static_cast<std::ptrdiff_t>(at)));
+    const KeyClaim claim = *answer.claim;
+    held_[ticket] = std::move(answer);
+    keyed_.Begin(ticket, claim, now + kProofTime, now, questions);
+  }
+  std::move(questions.begin(), questions.end(), std::back_inserter(actions));
+}
+
+void KeyProof::OnGranted(Ticket ticket, TimePoint now, Actions& actions) {
+  RunReply given_back;
+  given_back.outcome = Outcome::kNotRun;
+  keyed_.End(ticket, given_back, now, actions);
+  Send(ticket, std::move(held_.at(ticket)), actions);
+}
+
+void KeyProof::OnRefused(Ticket ticket,
+                         const RunReply& reply,
+                         TimePoint /*now*/,
+                         Actions& actions) {
+  AnswerCaller answer = std::move(held_.at(ticket));
+  answer.outcome = reply.outcome;
+  if (reply.outcome == Outcome::kDone) {
+    answer.reason = reply.reason;
+    answer.response = reply.response;
+  }
+  const bool is_other_body = reply.reason == Reason::kKeyOfOtherBody;
+  if (is_other_body && reply.outcome == Outcome::kNotRun) {
+    answer.reason = reply.reason;
+  }
+  Send(ticket, std::move(answer), actions);
+}
+
+void KeyProof::Send(Ticket ticket, AnswerCaller answer, Actions& actions) {
+  held_.erase(ticket);
+  answer.claim.reset();
+  actions.emplace_back(std::move(answer));
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/decision/key_retention.cc
@@ -0,0 +1,22 @@
+#include "decision/key_retention.h"
+
+#include <algorithm>
+
+namespace vanillafall {
+
+std::chrono::milliseconds RetentionOf(const ServiceConfig& service) {
+  std::chrono::milliseconds window = service.resend_window;
+  for (const GuardSet& former : service.former_guards) {
+    window = std::max(window, former.resend_window);
+  }
+  return window + kMostRequestAge;
+}
+
+void PauseDetector::OnEvent(TimePoint now) {
+  if (now - last_ > kLongestGap) {
+    waking_until_ = now + kWakeTime;
+  }
+  last_ = now;
+}
+
+}  // namespace vanillafall
--- a/packages/decision/keyed_execution.cc
+++ b/packages/decision/keyed_execution.cc
@@ -1,20 +1,44 @@
 #include "decision/keyed_execution.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
+#include "decision/key_retention.h"
+
 namespace vanillafall {
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using Purpose = KeyedExecution::Purpose;
 
 constexpr milliseconds kVoteTimeout{1000};
+constexpr milliseconds kLeastVoteTimeout{10};
+// A key that another attempt holds is asked for this often, with this delay
+// before the second round and twice as much before each further one.
+constexpr int kMostRounds = 5;
+constexpr milliseconds kFirstRoundDelay{20};
+// Keeps the attempts of proofs apart from those that run.
+constexpr std::uint64_t kFirstProofSequence = std::uint64_t{1} << 63U;
 constexpr milliseconds kSettleTimeout{1000};
 constexpr milliseconds kSettleRetryDelay{500};
 constexpr int kMostSettleTries = 10;
 // A longer answer is not kept; its resend learns the outcome without the body.
 constexpr std::size_t kMostKeptBody = 1U << 14U;
 
+// Up to twice the plain delay, so that two attempts that met part.
+milliseconds DelayBefore(int round, std::uint64_t incarnation) {
+  const milliseconds plain = kFirstRoundDelay * (1 << round);
+  const auto spread = static_cast<std::int64_t>(
+      incarnation % static_cast<std::uint64_t>(plain.count()));
+  return plain / 2 + milliseconds(spread);
+}
+
+Outcome OutcomeWithoutGuards(Purpose purpose) {
+  return purpose == Purpose::kRun ? Outcome::kNotRun : Outcome::kUnknown;
+}
+
 RunReply ReplyWith(Outcome outcome, Reason reason) {
   RunReply reply;
   reply.outcome = outcome;
@@ -26,62 +50,54 @@
 
 KeyedExecution::KeyedExecution(PeerAddress self,
                                std::uint64_t incarnation,
+                               Purpose purpose,
                                std::size_t max_keys,
                                PeerCaller& peers,
                                Listener& listener)
     : self_(std::move(self)),
       incarnation_(incarnation),
+      purpose_(purpose),
       max_keys_(max_keys),
       peers_(peers),
-      listener_(listener) {}
+      listener_(listener),
+      last_sequence_(purpose == Purpose::kRun ? 0 : kFirstProofSequence) {}
 
 void KeyedExecution::Begin(Ticket ticket,
-                           const RunRequest& run,
-                           const ServiceConfig& service,
+                           const KeyClaim& claim,
+                           TimePoint deadline,
+                           TimePoint now,
                            Actions& actions) {
-  VoteRequest vote;
-  vote.service = service.name;
-  vote.key = *run.key;
-  vote.fingerprint = run.fingerprint;
-  vote.attempt = {incarnation_, ++last_sequence_};
-  vote.owner = self_;
-  vote.service_number = service.number;
-  vote.key_time = run.key_time;
-  Work work{VoteRound(vote, service, versions_[service.name]),
-            service.resend_window};
-  const milliseconds timeout = std::min(run.time_left, kVoteTimeout);
-  for (const PeerAddress& guard : work.round.guards()) {
-    vote_calls_[peers_.Ask(guard, vote, timeout, actions)] = {ticket, guard};
-  }
-  works_.emplace(ticket, std::move(work));
+  Work& work = works_[ticket];
+  work.claim = claim;
+  work.deadline = deadline;
+  StartRound(ticket, now, actions);
 }
 
 void KeyedExecution::Abandon(Ticket ticket, Actions& actions) {
-  const auto found = works_.find(ticket);
-  if (found == works_.end()) {
-    return;
+  const auto work = works_.extract(ticket);
+  if (!work.empty() && work.mapped().round) {
+    SettleAll(*work.mapped().round, Outcome::kNotRun, actions);
   }
-  SettleAll(found->second.round, Outcome::kNotRun, actions);
-  works_.erase(found);
 }
 
 void KeyedExecution::End(Ticket ticket,
                          const RunReply& reply,
                          TimePoint now,
                          Actions& actions) {
-  const auto found = works_.find(ticket);
-  if (found == works_.end()) {
+  const auto node = works_.extract(ticket);
+  if (node.empty()) {
     return;
   }
-  const VoteRequest& vote = found->second.round.request();
+  const Work& work = node.mapped();
+  assert(work.is_granted && "only granted work can end; see Abandon");
+  const VoteRequest& vote = work.round->request();
   const bool is_kept = reply.outcome == Outcome::kDone &&
                        reply.response.body.size() <= kMostKeptBody &&
                        kept_.size() < max_keys_;
   if (is_kept) {
-    kept_[vote.key] = {vote.attempt, reply, now + found->second.resend_window};
+    kept_[vote.key] = {vote.attempt, reply, now + work.retention};
   }
-  SettleAll(found->second.round, reply.outcome, actions);
-  works_.erase(found);
+  SettleAll(*work.round, reply.outcome, actions);
 }
 
 bool KeyedExecution::OnPeerReply(
@@ -121,40 +137,107 @@
     resends_.pop_front();
     SendSettle(std::move(call), actions);
   }
+  while (!next_rounds_.empty() && next_rounds_.begin()->first <= now) {
+    const Ticket ticket = next_rounds_.begin()->second;
+    next_rounds_.erase(next_rounds_.begin());
+    StartRound(ticket, now, actions);
+  }
   std::erase_if(kept_,
                 [now](const auto& entry) { return entry.second.until <= now; });
 }
 
+void KeyedExecution::StartRound(Ticket ticket,
+                                TimePoint now,
+                                Actions& actions) {
+  const auto found = works_.find(ticket);
+  if (found == works_.end()) {
+    return;
+  }
+  Work& work = found->second;
+  const ServiceConfig* service =
+      config_ == nullptr ? nullptr : config_->FindService(work.claim.service);
+  if (service == nullptr && work.rounds++ == 0) {
+    StartLater(ticket, work, now);
+    return;
+  }
+  if (service == nullptr) {
+    works_.erase(found);
+    listener_.OnRefused(
+        ticket, ReplyWith(OutcomeWithoutGuards(purpose_), Reason::kNotOwner),
+        now, actions);
+    return;
+  }
+  ++work.rounds;
+  VoteRequest vote;
+  vote.service = service->name;
+  vote.key = work.claim.key;
+  vote.fingerprint = work.claim.fingerprint;
+  vote.attempt = {incarnation_, ++last_sequence_};
+  vote.owner = self_;
+  vote.service_number = service->number;
+  vote.key_time = work.claim.key_time;
+  work.round.emplace(vote, *service, versions_[service->name]);
+  work.retention = RetentionOf(*service);
+  const milliseconds timeout =
+      std::clamp(duration_cast<milliseconds>(work.deadline - now),
+                 kLeastVoteTimeout, kVoteTimeout);
+  for (const PeerAddress& guard : work.round->guards()) {
+    vote_calls_[peers_.Ask(guard, vote, timeout, actions)] = {
+        ticket, vote.attempt, guard};
+  }
+}
+
+void KeyedExecution::StartLater(Ticket ticket,
+                                const Work& work,
+                                TimePoint now) {
+  next_rounds_.emplace(now + DelayBefore(work.rounds, incarnation_), ticket);
+}
+
+bool KeyedExecution::MayAskAgain(const Work& work, TimePoint now) const {
+  return work.round->IsContended() && work.rounds < kMostRounds &&
+         now + DelayBefore(work.rounds, incarnation_) < work.deadline;
+}
+
 void KeyedExecution::OnVote(const VoteCall& call,
                             const std::variant<PeerReply, PeerFailure>& result,
                             TimePoint now,
                             Actions& actions) {
   const auto found = works_.find(call.ticket);
-  if (found == works_.end() || found->second.is_granted) {
+  const bool is_awaited =
+      found != works_.end() && !found->second.is_granted &&
+      found->second.round &&
+      found->second.round->request().attempt == call.attempt;
+  if (!is_awaited) {
     return;
   }
   Work& work = found->second;
   const auto* peer_reply = std::get_if<PeerReply>(&result);
   const auto* vote = peer_reply ? std::get_if<VoteReply>(peer_reply) : nullptr;
   if (vote != nullptr) {
-    versions_[work.round.request().service].OnReply(call.guard, *vote);
-    work.round.OnReply(call.guard, *vote);
+    versions_[work.claim.service].OnReply(call.guard, *vote);
+    work.round->OnReply(call.guard, *vote);
   } else {
-    work.round.OnFailure(call.guard);
+    work.round->OnFailure(call.guard);
   }
-  if (work.round.state() == VoteRound::State::kGranted) {
+  if (work.round->state() == VoteRound::State::kGranted) {
     work.is_granted = true;
     listener_.OnGranted(call.ticket, now, actions);
-  } else if (work.round.state() == VoteRound::State::kLost) {
-    Refuse(call.ticket, work, now, actions);
+    return;
+  }
+  if (work.round->state() != VoteRound::State::kLost) {
+    return;
+  }
+  if (!MayAskAgain(work, now)) {
+    Refuse(call.ticket, now, actions);
+    return;
   }
+  SettleAll(*work.round, Outcome::kNotRun, actions);
+  work.round.reset();
+  StartLater(call.ticket, work, now);
 }
 
-void KeyedExecution::Refuse(Ticket ticket,
-                            Work& work,
-                            TimePoint now,
-                            Actions& actions) {
-  const VoteRound round = work.round;
+void KeyedExecution::Refuse(Ticket ticket, TimePoint now, Actions& actions) {
+  const VoteRound round = *works_.at(ticket).round;
   works_.erase(ticket);
   SettleAll(round, Outcome::kNotRun, actions);
   const std::optional<VoteReply>& holder = round.holder();
@@ -167,10 +250,22 @@
                              actions)] = ticket;
     return;
   }
-  listener_.OnRefused(ticket, ReplyWith(round.outcome(), round.reason()), now,
+  const bool is_lost =
+      holder && holder->result == VoteResult::kTaken && holder->settled;
+  const Reason reason = is_lost ? Reason::kKeyOutcomeLost : round.reason();
+  listener_.OnRefused(ticket, ReplyWith(OutcomeOfLost(round), reason), now,
                       actions);
 }
 
+Outcome KeyedExecution::OutcomeOfLost(const VoteRound& round) const {
+  if (purpose_ == Purpose::kProve) {
+    return round.ProvesNotRun() ? Outcome::kNotRun : Outcome::kUnknown;
+  }
+  const bool other_attempt_may_run =
+      round.holder() && round.holder()->result == VoteResult::kTaken;
+  return other_attempt_may_run ? Outcome::kUnknown : Outcome::kNotRun;
+}
+
 void KeyedExecution::OnRecall(
     Ticket ticket,
     const std::variant<PeerReply, PeerFailure>& result,
@@ -191,7 +286,7 @@
                                Outcome outcome,
                                Actions& actions) {
   const VoteRequest& vote = round.request();
-  for (const PeerAddress& guard : round.guards()) {
+  for (const PeerAddress& guard : round.GuardsToSettle()) {
     SendSettle({guard, {vote.service, vote.key, vote.attempt, outcome}},
                actions);
   }
--- a/packages/decision/keyed_execution.h
+++ b/packages/decision/keyed_execution.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -14,21 +15,31 @@
 
 namespace vanillafall {
 
-// An owner's side of non-idempotent work with a key: asks the key's guards for
+// The asking side of non-idempotent work with a key: asks the key's guards for
 // the right to run, tells them how the attempt ended, and keeps the answer for
 // a caller that resends.
+//
+// While another attempt holds the key, it lets go of what it was granted and
+// asks again a few times, a little later each time. So a retry does not fail on
+// the releases of the try before it, one of two attempts that meet goes on, and
+// a resend during a short execution gets that execution's answer.
 class KeyedExecution {
  public:
   // Names a piece of work at the owner.
   using Ticket = std::uint64_t;
 
+  // kRun asks in order to run. kProve asks in order to tell the caller kNotRun:
+  // a grant that is given back, or a majority that holds nothing, is the proof.
+  enum class Purpose : std::uint8_t { kRun, kProve };
+
   class Listener {
    public:
     virtual ~Listener() = default;
     // The work may run now, and must end with End or Abandon.
     virtual void OnGranted(Ticket ticket, TimePoint now, Actions& actions) = 0;
     // The work must not run; the reply says why, or repeats the answer of the
-    // attempt that ran.
+    // attempt that ran. With kRun, kNotRun speaks of this attempt alone; with
+    // kProve, of every attempt.
     virtual void OnRefused(Ticket ticket,
                            const RunReply& reply,
                            TimePoint now,
@@ -37,17 +48,23 @@
 
   KeyedExecution(PeerAddress self,
                  std::uint64_t incarnation,
+                 Purpose purpose,
                  std::size_t max_keys,
                  PeerCaller& peers,
                  Listener& listener);
   KeyedExecution(const KeyedExecution&) = delete;
   KeyedExecution& operator=(const KeyedExecution&) = delete;
 
-  // Asks for the right to run. Exactly one call of the listener follows,
-  // unless Abandon comes first.
+  // Call on every change of configuration, and before the first Begin.
+  void Configure(const FleetConfigPtr& config) { config_ = config; }
+
+  // Asks for the right to run until the deadline. Exactly one call of the
+  // listener follows, never before this call has returned, unless Abandon comes
+  // first.
   void Begin(Ticket ticket,
-             const RunRequest& run,
-             const ServiceConfig& service,
+             const KeyClaim& claim,
+             TimePoint deadline,
+             TimePoint now,
              Actions& actions);
 
   // Gives up work that has not been granted; releases its grants.
@@ -74,12 +91,17 @@
 
  private:
   struct Work {
-    VoteRound round;
-    std::chrono::milliseconds resend_window{0};
+    KeyClaim claim;
+    TimePoint deadline;
+    // Empty between two rounds.
+    std::optional<VoteRound> round;
+    std::chrono::milliseconds retention{0};
+    int rounds = 0;
     bool is_granted = false;
   };
   struct VoteCall {
     Ticket ticket = 0;
+    AttemptId attempt;
     PeerAddress guard;
   };
   struct SettleCall {
@@ -97,6 +119,9 @@
     TimePoint until;
   };
 
+  void StartRound(Ticket ticket, TimePoint now, Actions& actions);
+  void StartLater(Ticket ticket, const Work& work, TimePoint now);
+  bool MayAskAgain(const Work& work, TimePoint now) const;
   void OnVote(const VoteCall& call,
               const std::variant<PeerReply, PeerFailure>& result,
               TimePoint now,
@@ -105,21 +130,25 @@
                 const std::variant<PeerReply, PeerFailure>& result,
                 TimePoint now,
                 Actions& actions);
-  void Refuse(Ticket ticket, Work& work, TimePoint now, Actions& actions);
+  void Refuse(Ticket ticket, TimePoint now, Actions& actions);
+  Outcome OutcomeOfLost(const VoteRound& round) const;
   void SettleAll(const VoteRound& round, Outcome outcome, Actions& actions);
   void SendSettle(SettleCall call, Actions& actions);
 
   const PeerAddress self_;
   const std::uint64_t incarnation_;
+  const Purpose purpose_;
   const std::size_t max_keys_;
   PeerCaller& peers_;
   Listener& listener_;
-  std::uint64_t last_sequence_ = 0;
+  FleetConfigPtr config_;
+  std::uint64_t last_sequence_;
   std::unordered_map<Ticket, Work> works_;
   std::unordered_map<PeerCallId, VoteCall> vote_calls_;
   std::unordered_map<PeerCallId, Ticket> recall_calls_;
   std::unordered_map<PeerCallId, SettleCall> settle_calls_;
   std::deque<Resend> resends_;
+  std::multimap<TimePoint, Ticket> next_rounds_;
   std::map<std::string, GuardVersions, std::less<>> versions_;
   std::unordered_map<Hash128, Kept> kept_;
 };
--- a/packages/decision/owner.cc
+++ b/packages/decision/owner.cc
@@ -83,12 +83,18 @@
     : self_(std::move(self)),
       limits_(limits),
       peers_(peers),
-      keyed_(self_, incarnation, limits.max_keys, peers, *this) {}
+      keyed_(self_,
+             incarnation,
+             KeyedExecution::Purpose::kRun,
+             limits.max_keys,
+             peers,
+             *this) {}
 
 void Owner::Configure(const FleetConfigPtr& config,
                       TimePoint now,
                       Actions& actions) {
   config_ = config;
+  keyed_.Configure(config);
   for (auto& [id, server] : servers_) {
     server.is_removed = true;
   }
@@ -301,12 +307,13 @@
 void Owner::Start(Ticket ticket, TimePoint now, Actions& actions) {
   Work& work = works_.at(ticket);
   work.is_running = true;
-  const ServiceConfig* service = config_->FindService(work.run.service);
-  if (!work.run.key || service == nullptr) {
+  if (!work.run.key) {
     Call(ticket, now, actions);
     return;
   }
-  keyed_.Begin(ticket, work.run, *service, actions);
+  const KeyClaim claim{work.run.service, *work.run.key, work.run.fingerprint,
+                       work.run.key_time};
+  keyed_.Begin(ticket, claim, work.deadline, now, actions);
 }
 
 void Owner::Call(Ticket ticket, TimePoint now, Actions& actions) {
--- a/packages/decision/vote_round.cc
+++ b/packages/decision/vote_round.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "decision/key_retention.h"
+
 namespace vanillafall {
 namespace {
 
@@ -47,11 +49,11 @@
 
 bool GuardVersions::IsRetired(const std::vector<PeerAddress>& guards,
                               std::uint64_t former_number,
-                              std::chrono::milliseconds resend_window) const {
+                              std::chrono::milliseconds retention) const {
   const auto moved_on = [&](const PeerAddress& guard) {
     const auto found = held_.find(guard);
     return found != held_.end() && found->second.number > former_number &&
-           found->second.age >= resend_window;
+           found->second.age >= retention;
   };
   const auto count = static_cast<std::size_t>(
       std::count_if(guards.begin(), guards.end(), moved_on));
@@ -62,50 +64,47 @@
                      const ServiceConfig& service,
                      const GuardVersions& versions)
     : request_(request) {
-  groups_.push_back({GuardsOfKey(request.key, service.Owners())});
+  const std::chrono::milliseconds retention = RetentionOf(service);
+  AddGroup(GuardsOfKey(request.key, service.Owners()));
   for (const GuardSet& former : service.former_guards) {
     std::vector<PeerAddress> guards = GuardsOfKey(request.key, former.guards);
-    if (!versions.IsRetired(guards, former.service_number,
-                            service.resend_window)) {
-      groups_.push_back({std::move(guards)});
-    }
-  }
-  for (const Group& group : groups_) {
-    for (const PeerAddress& guard : group.guards) {
-      if (!Contains(guards_, guard)) {
-        guards_.push_back(guard);
-      }
+    if (!versions.IsRetired(guards, former.service_number, retention)) {
+      AddGroup(std::move(guards));
     }
   }
 }
 
 void VoteRound::OnReply(const PeerAddress& guard, const VoteReply& reply) {
-  if (reply.result != VoteResult::kGranted) {
-    if (reply.result == VoteResult::kTaken ||
-        reply.result == VoteResult::kOtherBody) {
-      holder_ = reply;
-    }
-    refusal_ = ReasonOf(reply.result);
-    CountRefusal(guard);
+  if (reply.result == VoteResult::kGranted) {
+    Count(guard, &Group::granted);
+    Count(guard, &Group::free);
     return;
   }
-  for (Group& group : groups_) {
-    group.granted += Contains(group.guards, guard) ? 1 : 0;
+  refusers_.push_back(guard);
+  refusal_ = ReasonOf(reply.result);
+  Count(guard, &Group::refused);
+  if (reply.result == VoteResult::kTaken ||
+      reply.result == VoteResult::kOtherBody) {
+    NoteHolder(reply);
+  }
+  if (reply.result == VoteResult::kOtherBody ||
+      reply.result == VoteResult::kTableFull) {
+    Count(guard, &Group::free);
   }
 }
 
 void VoteRound::OnFailure(const PeerAddress& guard) {
-  CountRefusal(guard);
+  Count(guard, &Group::refused);
 }
 
 VoteRound::State VoteRound::state() const {
   bool is_granted = true;
   for (const Group& group : groups_) {
-    const std::size_t size = group.guards.size();
-    if (group.refused > size - MajorityOf(size)) {
+    const std::size_t majority = MajorityOf(group.guards.size());
+    if (group.refused + majority > group.guards.size()) {
       return State::kLost;
     }
-    is_granted = is_granted && group.granted >= MajorityOf(size);
+    is_granted = is_granted && group.granted >= majority;
   }
   return is_granted ? State::kGranted : State::kPending;
 }
@@ -114,15 +113,57 @@
   return holder_ ? ReasonOf(holder_->result) : refusal_;
 }
 
-Outcome VoteRound::outcome() const {
-  const bool other_attempt_may_run =
-      holder_ && holder_->result == VoteResult::kTaken;
-  return other_attempt_may_run ? Outcome::kUnknown : Outcome::kNotRun;
+std::vector<PeerAddress> VoteRound::GuardsToSettle() const {
+  std::vector<PeerAddress> rest;
+  for (const PeerAddress& guard : guards_) {
+    if (!Contains(refusers_, guard)) {
+      rest.push_back(guard);
+    }
+  }
+  return rest;
+}
+
+bool VoteRound::ProvesNotRun() const {
+  return std::all_of(groups_.begin(), groups_.end(), [](const Group& group) {
+    return group.free >= MajorityOf(group.guards.size());
+  });
+}
+
+bool VoteRound::IsContended() const {
+  return holder_ && holder_->result == VoteResult::kTaken && !holder_->settled;
+}
+
+// Guard sets that differ only for other keys make one group.
+void VoteRound::AddGroup(std::vector<PeerAddress> guards) {
+  const bool is_known =
+      std::any_of(groups_.begin(), groups_.end(),
+                  [&](const Group& group) { return group.guards == guards; });
+  if (is_known || guards.empty()) {
+    return;
+  }
+  for (const PeerAddress& guard : guards) {
+    if (!Contains(guards_, guard)) {
+      guards_.push_back(guard);
+    }
+  }
+  groups_.push_back({std::move(guards)});
+}
+
+// An attempt with the same body tells the caller most, and of these one that
+// is known to have ended.
+void VoteRound::NoteHolder(const VoteReply& reply) {
+  const auto rank = [](const VoteReply& each) {
+    return std::pair(each.result == VoteResult::kTaken,
+                     each.settled.has_value());
+  };
+  if (!holder_ || rank(reply) > rank(*holder_)) {
+    holder_ = reply;
+  }
 }
 
-void VoteRound::CountRefusal(const PeerAddress& guard) {
+void VoteRound::Count(const PeerAddress& guard, std::size_t Group::*counter) {
   for (Group& group : groups_) {
-    group.refused += Contains(group.guards, guard) ? 1 : 0;
+    group.*counter += Contains(group.guards, guard) ? 1 : 0;
   }
 }
 
--- a/packages/decision/vote_round.h
+++ b/packages/decision/vote_round.h
@@ -34,10 +34,10 @@
   void OnReply(const PeerAddress& guard, const VoteReply& reply);
 
   // True when a majority of the guards hold a number above the former one for
-  // at least the resend window.
+  // at least the retention, so that no grant under it can matter any more.
   bool IsRetired(const std::vector<PeerAddress>& guards,
                  std::uint64_t former_number,
-                 std::chrono::milliseconds resend_window) const;
+                 std::chrono::milliseconds retention) const;
 
  private:
   struct Held {
@@ -68,9 +68,19 @@
 
   State state() const;
 
-  // With kLost: why, and what the caller can be told about the key.
+  // With kLost: why.
   Reason reason() const;
-  Outcome outcome() const;
+  // The guards that may hold a grant of this attempt: all but those that
+  // answered with a refusal. They must be told how it ended.
+  std::vector<PeerAddress> GuardsToSettle() const;
+  // True when a majority of every group has shown that it holds no grant of the
+  // key for another attempt with this body. Every other attempt needs a
+  // majority of one of these groups, so none has been granted before this
+  // round began.
+  bool ProvesNotRun() const;
+  // True when another attempt holds the key and has not ended as far as is
+  // known; asking again may bring its answer, or the key if it is released.
+  bool IsContended() const;
   // With kLost because another attempt holds the key: its reply, with the
   // holder and how that attempt ended.
   const std::optional<VoteReply>& holder() const { return holder_; }
@@ -80,13 +90,18 @@
     std::vector<PeerAddress> guards;
     std::size_t granted = 0;
     std::size_t refused = 0;
+    // Guards that hold no grant for another attempt with the same body.
+    std::size_t free = 0;
   };
 
-  void CountRefusal(const PeerAddress& guard);
+  void AddGroup(std::vector<PeerAddress> guards);
+  void NoteHolder(const VoteReply& reply);
+  void Count(const PeerAddress& guard, std::size_t Group::*counter);
 
   VoteRequest request_;
   std::vector<Group> groups_;
   std::vector<PeerAddress> guards_;
+  std::vector<PeerAddress> refusers_;
   std::optional<VoteReply> holder_;
   Reason refusal_ = Reason::kNoQuorum;
 };
