--- a/packages/config/config_test.cc
+++ b/packages/config/config_test.cc
@@ -69,7 +69,11 @@
 ServiceConfig MakeService() {
   ServiceConfig service = ParseServiceFile(kServiceText, "f.toml").value;
   service.number = 4;
-  service.former_guards = {{3, {"10.0.0.9:7100"}}};
+  service.former_guards = {{3,
+                            {"10.0.0.9:7100"},
+                            std::chrono::minutes(15),
+                            std::chrono::hours(500'000),
+                            {"hervanta"}}};
   return service;
 }
 
--- a/packages/config/document.cc
+++ b/packages/config/document.cc
@@ -1,5 +1,6 @@
 #include "config/document.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -10,6 +11,7 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 
 // Parts leave room below the platform's limit for what it may add.
 constexpr std::size_t kPartBytes = kMostValueBytes - (1U << 16U);
@@ -84,7 +86,11 @@
 }
 
 json ToJson(const GuardSet& set) {
-  return {{"number", set.service_number}, {"guards", set.guards}};
+  return {{"number", set.service_number},
+          {"guards", set.guards},
+          {"resend_window_ms", set.resend_window.count()},
+          {"replaced_at_ms", set.replaced_at.count()},
+          {"data_centres", set.data_centres}};
 }
 
 Route RouteFrom(const json& value) {
@@ -99,7 +105,12 @@
 }
 
 GuardSet GuardSetFrom(const json& value) {
-  return {Number(value.at("number")), value.at("guards")};
+  return {Number(value.at("number")), value.at("guards"),
+          milliseconds(
+              Unsigned(value.at("resend_window_ms"), 1, kMostResendWindowMs)),
+          milliseconds(Unsigned(value.at("replaced_at_ms"), 0,
+                                std::numeric_limits<std::int64_t>::max())),
+          value.at("data_centres")};
 }
 
 template <typename T>
@@ -122,7 +133,11 @@
 }
 
 bool IsUsable(const ServiceConfig& service) {
-  return service.floor <= service.backend_servers.size();
+  return service.floor <= service.backend_servers.size() &&
+         std::all_of(service.former_guards.begin(), service.former_guards.end(),
+                     [](const GuardSet& set) {
+                       return set.data_centres.size() == set.guards.size();
+                     });
 }
 
 json EntryToJson(const ManifestEntry& entry) {
--- a/packages/config/fleet_config.h
+++ b/packages/config/fleet_config.h
@@ -41,10 +41,16 @@
 // without protection against the caller's own resend.
 enum class MissingKeyRule : std::uint8_t { kRefuse, kRunOnce };
 
-// The daemons that guarded the service's keys under one document number.
+// The daemons that guarded the service's keys under one document number, the
+// resend window that it promised, and when a newer document was made (since the
+// Unix epoch).
 struct GuardSet {
   std::uint64_t service_number = 0;
   std::vector<PeerAddress> guards;
+  std::chrono::milliseconds resend_window{0};
+  std::chrono::milliseconds replaced_at{0};
+  // Data centre of each guard, in the order of the guards.
+  std::vector<std::string> data_centres;
 
   friend bool operator==(const GuardSet&, const GuardSet&) = default;
 };
@@ -72,6 +78,8 @@
   // Owners of the backend servers, each once, in ascending order. They are the
   // guards of the service's keys.
   std::vector<PeerAddress> Owners() const;
+  // The owners as this document's guard set.
+  GuardSet CurrentGuards() const;
 };
 
 struct ManifestEntry {
--- a/packages/operator/bundle.cc
+++ b/packages/operator/bundle.cc
@@ -11,7 +11,10 @@
 namespace vanillafall {
 namespace {
 
-constexpr std::size_t kMostFormerGuardSets = 8;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostFormerGuardSets = 64;
+constexpr milliseconds kFormerGuardsKept = std::chrono::hours(24);
 
 // The whole document of an entry, joined from its parts; empty when one is
 // missing or damaged.
@@ -42,10 +45,19 @@
   return found == services.end() ? nullptr : &*found;
 }
 
-// Gives the service the next number if its content differs from before.
-void Number(ServiceConfig& service, const ServiceConfig* previous) {
+bool HasSameGuards(const ServiceConfig& a, const ServiceConfig& b) {
+  const GuardSet left = a.CurrentGuards();
+  const GuardSet right = b.CurrentGuards();
+  return left.guards == right.guards && left.data_centres == right.data_centres;
+}
+
+// Gives the service the manifest's number if its content differs from before.
+void Number(ServiceConfig& service,
+            const ServiceConfig* previous,
+            std::uint64_t manifest_number,
+            milliseconds published_at) {
   if (previous == nullptr) {
-    service.number = 1;
+    service.number = manifest_number;
     return;
   }
   service.number = previous->number;
@@ -53,12 +65,16 @@
   if (EncodeService(service) == EncodeService(*previous)) {
     return;
   }
-  service.number = previous->number + 1;
-  if (service.Owners() != previous->Owners()) {
-    service.former_guards.push_back({previous->number, previous->Owners()});
-  }
-  if (service.former_guards.size() > kMostFormerGuardSets) {
-    service.former_guards.erase(service.former_guards.begin());
+  service.number = manifest_number;
+  std::erase_if(service.former_guards, [published_at](const GuardSet& set) {
+    return set.replaced_at + kFormerGuardsKept < published_at;
+  });
+  // A shorter window must not shorten what was promised for keys in use.
+  const bool is_former_needed = !HasSameGuards(service, *previous) ||
+                                service.resend_window < previous->resend_window;
+  if (is_former_needed) {
+    service.former_guards.push_back(previous->CurrentGuards());
+    service.former_guards.back().replaced_at = published_at;
   }
 }
 
@@ -132,21 +148,34 @@
 }  // namespace
 
 Bundle MakeBundle(const std::vector<ServiceFile>& files,
-                  const PublishedDocuments& previous) {
+                  const PublishedDocuments& previous,
+                  WallTime published_at) {
   Bundle bundle;
+  const std::optional<Manifest> manifest = ReadManifest(previous);
+  bundle.manifest.number = manifest ? manifest->number + 1 : 1;
   ReadFiles read = Read(files, bundle.problems);
   const std::vector<ServiceConfig> before = ReadServices(previous);
   for (ServiceConfig& service : read.good) {
-    Number(service, FindByName(before, service.name));
-    AddService(service, bundle);
+    const ServiceConfig* held = FindByName(before, service.name);
+    Number(service, held, bundle.manifest.number,
+           std::chrono::duration_cast<milliseconds>(
+               published_at.time_since_epoch()));
+    if (service.former_guards.size() <= kMostFormerGuardSets) {
+      AddService(service, bundle);
+      continue;
+    }
+    bundle.problems.push_back(
+        {service.name, 0, "backend_server",
+         std::to_string(service.former_guards.size()) +
+             " changes of owners within a day",
+         "at most " + std::to_string(kMostFormerGuardSets)});
+    AddService(*held, bundle);
   }
   KeepOrRemove(before, read, bundle);
   std::sort(bundle.manifest.entries.begin(), bundle.manifest.entries.end(),
             [](const ManifestEntry& a, const ManifestEntry& b) {
               return a.service < b.service;
             });
-  const std::optional<Manifest> manifest = ReadManifest(previous);
-  bundle.manifest.number = manifest ? manifest->number + 1 : 1;
   bundle.documents[kManifestName] = EncodeManifest(bundle.manifest);
   return bundle;
 }
--- a/packages/operator/bundle.h
+++ b/packages/operator/bundle.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "config/fleet_config.h"
 #include "config/problem.h"
 
@@ -36,15 +37,22 @@
 
 // Makes the documents of the service files. The previous documents give the
 // numbers: a service whose content is unchanged keeps its document, a changed
-// one gets the next number. The manifest's number always rises, so that
-// bundling again settles two publications of one number.
+// one gets the manifest's number. The manifest's number always rises, so that
+// bundling again settles two publications of one number, and a service that
+// was removed and comes back has no lower number than before.
 //
 // A file with problems keeps its service's previous document and stops no
 // other. A service without a file is removed, unless the name of some bad
 // file's service can't be read: then nobody can tell a removal from a damaged
 // file, and all services without a file are kept.
+//
+// A document names the former sets of guards for a day after they were
+// replaced: a daemon that is cut off may hold a former document for hours. A
+// change that would need more sets than a document holds is a problem; it waits
+// until the oldest set may go.
 Bundle MakeBundle(const std::vector<ServiceFile>& files,
-                  const PublishedDocuments& previous);
+                  const PublishedDocuments& previous,
+                  WallTime published_at);
 
 // The services of published documents; those that can't be read are left out.
 std::vector<ServiceConfig> ReadServices(const PublishedDocuments& documents);
--- a/packages/operator/bundle_test.cc
+++ b/packages/operator/bundle_test.cc
@@ -11,6 +11,8 @@
 namespace vanillafall {
 namespace {
 
+const WallTime kPublishedAt = WallTime() + std::chrono::hours(500'000);
+
 // Sizes of the letter.
 constexpr int kServices = 470;
 constexpr int kRoutes = 2500;
@@ -68,9 +70,10 @@
 const ServiceFile kMill = MakeFile({"mill", 1, 2, 10, 1, 0});
 
 TEST_CASE("numbers rise for what changed only", "[bundle]") {
-  const Bundle first = MakeBundle({kDesk, kMill}, {});
+  const Bundle first = MakeBundle({kDesk, kMill}, {}, kPublishedAt);
   const ServiceFile changed = MakeFile({"mill", 2, 2, 10, 1, 0});
-  const Bundle second = MakeBundle({kDesk, changed}, first.documents);
+  const Bundle second =
+      MakeBundle({kDesk, changed}, first.documents, kPublishedAt);
   CHECK(first.manifest.number == 1);
   CHECK(second.manifest.number == 2);
   CHECK(second.documents.at("service-desk") ==
@@ -79,10 +82,11 @@
 }
 
 TEST_CASE("a bad file keeps its service and stops no other", "[bundle]") {
-  const Bundle first = MakeBundle({kDesk, kMill}, {});
+  const Bundle first = MakeBundle({kDesk, kMill}, {}, kPublishedAt);
   const ServiceFile bad = {"desk.toml", "service = \"desk\"\nfloor = -1\n"};
   const ServiceFile changed = MakeFile({"mill", 2, 2, 10, 1, 0});
-  const Bundle second = MakeBundle({bad, changed}, first.documents);
+  const Bundle second =
+      MakeBundle({bad, changed}, first.documents, kPublishedAt);
   CHECK_FALSE(second.problems.empty());
   CHECK(second.documents.at("service-desk") ==
         first.documents.at("service-desk"));
@@ -90,17 +94,18 @@
 }
 
 TEST_CASE("a service without a file is removed", "[bundle]") {
-  const Bundle first = MakeBundle({kDesk, kMill}, {});
-  const Bundle second = MakeBundle({kDesk}, first.documents);
+  const Bundle first = MakeBundle({kDesk, kMill}, {}, kPublishedAt);
+  const Bundle second = MakeBundle({kDesk}, first.documents, kPublishedAt);
   CHECK(second.removed == std::vector<std::string>{"mill"});
   CHECK_FALSE(HasService(second, "mill"));
   CHECK_FALSE(second.documents.contains("service-mill"));
 }
 
 TEST_CASE("a file without a readable name removes nothing", "[bundle]") {
-  const Bundle first = MakeBundle({kDesk, kMill}, {});
+  const Bundle first = MakeBundle({kDesk, kMill}, {}, kPublishedAt);
   const ServiceFile unreadable = {"mill.toml", "service = \"mill\nfloor ="};
-  const Bundle second = MakeBundle({kDesk, unreadable}, first.documents);
+  const Bundle second =
+      MakeBundle({kDesk, unreadable}, first.documents, kPublishedAt);
   CHECK(second.removed.empty());
   CHECK(second.kept == std::vector<std::string>{"mill"});
   CHECK(HasService(second, "mill"));
@@ -109,7 +114,7 @@
 TEST_CASE("two files of one service are a problem that names both",
           "[bundle]") {
   const Bundle bundle =
-      MakeBundle({kDesk, {"copy.toml", kDesk.text}, kMill}, {});
+      MakeBundle({kDesk, {"copy.toml", kDesk.text}, kMill}, {}, kPublishedAt);
   REQUIRE(bundle.problems.size() == 1);
   CHECK(bundle.problems.front().file == "copy.toml");
   CHECK(bundle.problems.front().found.find("desk.toml") != std::string::npos);
@@ -130,7 +135,7 @@
     server += shape.servers;
     files.push_back(MakeFile(shape));
   }
-  const Bundle bundle = MakeBundle(files, {});
+  const Bundle bundle = MakeBundle(files, {}, kPublishedAt);
   REQUIRE(bundle.problems.empty());
   REQUIRE(bundle.services.size() == kServices);
   std::size_t most = 0;
@@ -156,7 +161,7 @@
 }
 
 TEST_CASE("a change is explained before it is published", "[change]") {
-  const Bundle before = MakeBundle({kDesk, kMill}, {});
+  const Bundle before = MakeBundle({kDesk, kMill}, {}, kPublishedAt);
   std::vector<ServiceConfig> after = before.services;
   after[0].floor = 2;
   after[0].backend_servers[0].owner = "10.9.0.77:7100";
--- a/packages/operator/commands.cc
+++ b/packages/operator/commands.cc
@@ -110,7 +110,8 @@
 // would publish with what the documents of another directory say.
 int CheckAgainst(const std::string& directory, const std::string& documents) {
   const PublishedDocuments published = ReadDocuments(documents);
-  const Bundle bundle = MakeBundle(ReadServiceFiles(directory), published);
+  const Bundle bundle = MakeBundle(ReadServiceFiles(directory), published,
+                                   SystemClock().wall_now());
   Print(bundle.problems);
   PrintKept(bundle);
   const ChangeReport report =
@@ -168,7 +169,8 @@
   line.parse(copy);
   fs::create_directories(out.getValue());
   const PublishedDocuments previous = ReadDocuments(out.getValue());
-  const Bundle bundle = MakeBundle(ReadServiceFiles(from.getValue()), previous);
+  const Bundle bundle = MakeBundle(ReadServiceFiles(from.getValue()), previous,
+                                   SystemClock().wall_now());
   Print(bundle.problems);
   PrintKept(bundle);
   WriteDocuments(out.getValue(), previous, bundle.documents);
--- a/tools/bench_capacity.cc
+++ b/tools/bench_capacity.cc
@@ -137,7 +137,8 @@
   config.services[service.name] = service;
   const TimePoint now = TimePoint() + std::chrono::hours(10);
   for (const int keys : {20'000, 80'000}) {
-    ExecutionGuard guard(service.Owners().front(), 1'000'000, TimePoint());
+    ExecutionGuard guard(service.Owners().front(), 1'000'000, TimePoint(),
+                         milliseconds(0));
     guard.Configure(config, TimePoint());
     for (const PeerAddress& owner : service.Owners()) {
       guard.OnPeerUpToDate(owner);
