Take no proof of not run right after a pause; expire keys without scans

Besides, kept answers and remembered releases were scanned as a whole at every tick.

Change: KeyProof turns not run into unknown while the process wakes. Expiry takes what is due from ordered queues. VF_FIRST_SEED replays one seed.

--- a/packages/decision/at_most_once_test.cc
+++ b/packages/decision/at_most_once_test.cc
@@ -536,9 +536,9 @@
   int repeated_ = 0;
 };
 
-std::uint64_t SeedCount() {
-  const char* text = std::getenv("VF_SEEDS");
-  return text == nullptr ? 24 : std::strtoull(text, nullptr, 10);
+std::uint64_t NumberFrom(const char* variable, std::uint64_t otherwise) {
+  const char* text = std::getenv(variable);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
 }  // namespace
@@ -549,7 +549,9 @@
   int not_run = 0;
   int unknown = 0;
   int repeated = 0;
-  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+  const std::uint64_t first = NumberFrom("VF_FIRST_SEED", 1);
+  const std::uint64_t count = NumberFrom("VF_SEEDS", 24);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
     INFO("seed " << seed);
     FleetRun run(seed);
     run.Run();
--- a/packages/decision/decision.h
+++ b/packages/decision/decision.h
@@ -13,6 +13,9 @@
 //   admission.h        slots and the fair, bounded wait for them
 //   execution_guard.h  grants for keys of non-idempotent work
 //   vote_round.h       one owner's request for such a grant
+//   keyed_execution.h  the asking side of such grants, with the kept answers
+//   key_proof.h        proof by the guards before a caller is told `not run`
+//   key_retention.h    how long keys are remembered; pauses of this process
 //   service_health.h   detection and ejection of sick backend servers
 //   crash_guard.h      requests that crash whoever runs them
 
--- a/packages/decision/engine.cc
+++ b/packages/decision/engine.cc
@@ -20,7 +20,11 @@
       guard_(identity.self, limits.max_keys, started, identity.started_at),
       owner_(identity.self, limits, identity.incarnation, *this),
       entry_(identity.data_centre, limits.max_requests, *this),
-      proof_(identity.self, identity.incarnation, limits.max_keys, *this) {}
+      proof_(identity.self,
+             identity.incarnation,
+             limits.max_keys,
+             pauses_,
+             *this) {}
 
 void Engine::Handle(const Event& event, TimePoint now, Actions& actions) {
   const std::size_t first = actions.size();
--- a/packages/decision/execution_guard.cc
+++ b/packages/decision/execution_guard.cc
@@ -89,8 +89,9 @@
   const bool is_held =
       found != keys_.end() && found->second.attempt == notice.attempt;
   if (!is_held) {
-    if (notice.outcome == Outcome::kNotRun && released_.size() < max_keys_) {
-      released_[notice.attempt] = now + kReleaseMemory;
+    if (notice.outcome == Outcome::kNotRun && released_.size() < max_keys_ &&
+        released_.insert(notice.attempt).second) {
+      release_expiries_.emplace_back(now + kReleaseMemory, notice.attempt);
     }
     return;
   }
@@ -110,8 +111,10 @@
     }
     expiries_.erase(expiries_.begin());
   }
-  std::erase_if(released_,
-                [now](const auto& entry) { return entry.second <= now; });
+  while (!release_expiries_.empty() && release_expiries_.front().first <= now) {
+    released_.erase(release_expiries_.front().second);
+    release_expiries_.pop_front();
+  }
 }
 
 bool ExecutionGuard::IsAbstaining(const VoteRequest& request,
--- a/packages/decision/execution_guard.h
+++ b/packages/decision/execution_guard.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -97,9 +98,10 @@
   std::map<std::string, ServiceNumber, std::less<>> service_numbers_;
   std::unordered_map<Hash128, Grant> keys_;
   std::multimap<TimePoint, Hash128> expiries_;
-  // Attempts that were released before their vote arrived, by the time at which
-  // they are forgotten.
-  std::map<AttemptId, TimePoint, AttemptOrder> released_;
+  // Attempts that were released before their vote arrived, and the times at
+  // which they are forgotten.
+  std::set<AttemptId, AttemptOrder> released_;
+  std::deque<std::pair<TimePoint, AttemptId>> release_expiries_;
 };
 
 }  // namespace vanillafall
--- a/packages/decision/key_proof.cc
+++ b/packages/decision/key_proof.cc
@@ -22,8 +22,10 @@
 KeyProof::KeyProof(PeerAddress self,
                    std::uint64_t incarnation,
                    std::size_t max_keys,
+                   const PauseDetector& pauses,
                    PeerCaller& peers)
-    : keyed_(std::move(self),
+    : pauses_(pauses),
+      keyed_(std::move(self),
              incarnation,
              KeyedExecution::Purpose::kProve,
              max_keys,
@@ -37,6 +39,10 @@
       ++at;
       continue;
     }
+    if (pauses_.IsWaking(now)) {
+      std::get<AnswerCaller>(actions[at]).outcome = Outcome::kUnknown;
+      continue;
+    }
     const Ticket ticket = ++last_ticket_;
     AnswerCaller answer = std::get<AnswerCaller>(std::move(actions[at]));
     actions.erase(std::next(actions.begin(), static_cast<std::ptrdiff_t>(at)));
@@ -51,12 +57,12 @@
   RunReply given_back;
   given_back.outcome = Outcome::kNotRun;
   keyed_.End(ticket, given_back, now, actions);
-  Send(ticket, std::move(held_.at(ticket)), actions);
+  Send(ticket, std::move(held_.at(ticket)), now, actions);
 }
 
 void KeyProof::OnRefused(Ticket ticket,
                          const RunReply& reply,
-                         TimePoint /*now*/,
+                         TimePoint now,
                          Actions& actions) {
   AnswerCaller answer = std::move(held_.at(ticket));
   answer.outcome = reply.outcome;
@@ -68,10 +74,16 @@
   if (is_other_body && reply.outcome == Outcome::kNotRun) {
     answer.reason = reply.reason;
   }
-  Send(ticket, std::move(answer), actions);
+  Send(ticket, std::move(answer), now, actions);
 }
 
-void KeyProof::Send(Ticket ticket, AnswerCaller answer, Actions& actions) {
+void KeyProof::Send(Ticket ticket,
+                    AnswerCaller answer,
+                    TimePoint now,
+                    Actions& actions) {
+  if (answer.outcome == Outcome::kNotRun && pauses_.IsWaking(now)) {
+    answer.outcome = Outcome::kUnknown;
+  }
   held_.erase(ticket);
   answer.claim.reset();
   actions.emplace_back(std::move(answer));
--- a/packages/decision/key_proof.h
+++ b/packages/decision/key_proof.h
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "decision/event.h"
+#include "decision/key_retention.h"
 #include "decision/keyed_execution.h"
 #include "decision/peer_caller.h"
 
@@ -14,12 +15,15 @@
 // An entry knows what became of its own tries; it does not know whether the
 // same key ran on behalf of an earlier request, through any daemon. So
 // `not run` goes out only once the key's guards have proved it; otherwise the
-// caller gets the answer of the attempt that ran, or `unknown`.
+// caller gets the answer of the attempt that ran, or `unknown`. Right after a
+// pause of this process nothing counts as proof: the guards may have forgotten
+// the key since, or have spoken long ago.
 class KeyProof final : private KeyedExecution::Listener {
  public:
   KeyProof(PeerAddress self,
            std::uint64_t incarnation,
            std::size_t max_keys,
+           const PauseDetector& pauses,
            PeerCaller& peers);
   KeyProof(const KeyProof&) = delete;
   KeyProof& operator=(const KeyProof&) = delete;
@@ -55,8 +59,12 @@
                  TimePoint now,
                  Actions& actions) override;
   // Sends a held answer; it needs no further proof.
-  void Send(Ticket ticket, AnswerCaller answer, Actions& actions);
+  void Send(Ticket ticket,
+            AnswerCaller answer,
+            TimePoint now,
+            Actions& actions);
 
+  const PauseDetector& pauses_;
   KeyedExecution keyed_;
   Ticket last_ticket_ = 0;
   std::unordered_map<Ticket, AnswerCaller> held_;
--- a/packages/decision/keyed_execution.cc
+++ b/packages/decision/keyed_execution.cc
@@ -96,6 +96,7 @@
                        kept_.size() < max_keys_;
   if (is_kept) {
     kept_[vote.key] = {vote.attempt, reply, now + work.retention};
+    kept_expiries_.emplace(now + work.retention, vote.key);
   }
   SettleAll(*work.round, reply.outcome, actions);
 }
@@ -142,8 +143,13 @@
     next_rounds_.erase(next_rounds_.begin());
     StartRound(ticket, now, actions);
   }
-  std::erase_if(kept_,
-                [now](const auto& entry) { return entry.second.until <= now; });
+  while (!kept_expiries_.empty() && kept_expiries_.begin()->first <= now) {
+    const auto found = kept_.find(kept_expiries_.begin()->second);
+    if (found != kept_.end() && found->second.until <= now) {
+      kept_.erase(found);
+    }
+    kept_expiries_.erase(kept_expiries_.begin());
+  }
 }
 
 void KeyedExecution::StartRound(Ticket ticket,
--- a/packages/decision/keyed_execution.h
+++ b/packages/decision/keyed_execution.h
@@ -151,6 +151,7 @@
   std::multimap<TimePoint, Ticket> next_rounds_;
   std::map<std::string, GuardVersions, std::less<>> versions_;
   std::unordered_map<Hash128, Kept> kept_;
+  std::multimap<TimePoint, Hash128> kept_expiries_;
 };
 
 }  // namespace vanillafall
