Compare strategies of detection in one bench

Cause: the profiles and baselines need figures from one run.

Change: tools/bench_health.cc runs four strategies behind the same leases over 17 failures on a fake clock.

--- /dev/null
+++ b/tools/bench_health.cc
@@ -0,0 +1,548 @@
+// Compares strategies of detection on a fake clock: how long a failing backend
+// server keeps its work, how often a healthy one loses it, what callers lose,
+// and how much of the healthy slots lies idle. Every strategy runs behind the
+// same in-service leases, on the same seeds and the same simple queue model.
+//
+// Prints one line a figure: name, value, unit.
+
+#include <tclap/CmdLine.h>
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "decision/service_health.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kStep{2};
+constexpr milliseconds kDeadline{2000};
+constexpr milliseconds kMessageDelay{2};
+constexpr milliseconds kWarmUp{15'000};
+constexpr milliseconds kFaultTime{30'000};
+constexpr milliseconds kEndpointLag{2000};
+constexpr std::uint32_t kSlots = 3;
+constexpr std::uint32_t kRowLimit = 5;
+constexpr double kUsualFailures = 0.01;
+constexpr TimePoint kStart{seconds(100'000)};
+constexpr std::size_t kMostTries = 3;
+
+using Random = std::mt19937_64;
+
+enum class Strategy : std::uint8_t {
+  kPeers,
+  kNone,
+  kConsecutive,
+  kEndpoint,
+};
+
+// How a server misbehaves at a moment.
+struct Condition {
+  double failure_ratio = kUsualFailures;
+  double slowness = 1;
+  double slowness_of_jobs = 1;
+  bool hangs = false;
+  bool refuses = false;
+  // What the health endpoint will say after its lag.
+  bool endpoint_well = true;
+
+  bool is_sick() const {
+    return failure_ratio > kUsualFailures || slowness > 1 ||
+           slowness_of_jobs > 1 || hangs || refuses;
+  }
+};
+
+// The condition of a server so long after the fault began.
+using Fault = std::function<Condition(std::size_t server, milliseconds age)>;
+
+struct Scenario {
+  const char* name;
+  // Whether an ejection of the first server is right.
+  bool first_is_sick = true;
+  double utilisation = 0.4;
+  // Share of the requests to the first server that come with little time left.
+  double late_share = 0;
+  Fault fault;
+};
+
+struct Fleet {
+  const char* suffix;
+  Strategy strategy;
+  Profile profile;
+  std::size_t servers;
+  std::uint32_t floor;
+};
+
+struct Result {
+  std::vector<milliseconds> detections;
+  std::uint32_t missed = 0;
+  std::uint32_t false_ejections = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t healthy_slot_steps = 0;
+  std::uint64_t wasted_slot_steps = 0;
+  std::uint64_t floor_violations = 0;
+  std::uint64_t messages = 0;
+};
+
+struct Job {
+  std::uint64_t ticket = 0;
+  bool is_large = false;
+  TimePoint arrived;
+  TimePoint deadline;
+  TimePoint started;
+  TimePoint ends;
+  bool fails = false;
+  std::size_t tries = 0;
+};
+
+struct Server {
+  std::string name;
+  std::unique_ptr<ServiceHealth> health;
+  HealthEndpoint* endpoint = nullptr;
+  std::vector<Job> running;
+  std::deque<Job> waiting;
+  bool was_ejected = false;
+  bool is_detected = false;
+};
+
+struct Message {
+  TimePoint due;
+  std::size_t from = 0;
+  std::size_t to = 0;
+  LeaseAsk ask;
+  LeaseReply reply;
+  TimePoint sent;
+  bool is_reply = false;
+};
+
+// One run of one scenario with one strategy and seed.
+class Run {
+ public:
+  Run(const Scenario& scenario,
+      const Fleet& fleet,
+      std::uint64_t seed,
+      Result& result)
+      : scenario_(scenario), fleet_(fleet), random_(seed), result_(result) {
+    MakeServers();
+  }
+
+  void Execute() {
+    const TimePoint end = kStart + kWarmUp + kFaultTime;
+    for (now_ = kStart; now_ < end; now_ += kStep) {
+      Deliver();
+      for (std::size_t i = 0; i < servers_.size(); ++i) {
+        EndWork(i);
+        StartWork(i);
+      }
+      Arrive();
+      if ((now_ - kStart) % milliseconds(10) == milliseconds(0)) {
+        Advance();
+      }
+      Count();
+    }
+    if (!scenario_.first_is_sick) {
+      return;
+    }
+    if (!servers_.front().is_detected) {
+      ++result_.missed;
+      result_.detections.push_back(kFaultTime);
+    }
+  }
+
+ private:
+  void MakeServers() {
+    ServiceConfig config;
+    config.name = "bench";
+    config.number = 1;
+    config.floor = fleet_.floor;
+    config.profile = fleet_.profile;
+    for (std::size_t i = 0; i < fleet_.servers; ++i) {
+      const std::string name = "server-" + std::to_string(i);
+      config.backend_servers.push_back(
+          {name, "", std::to_string(i), "", kSlots});
+    }
+    servers_.resize(fleet_.servers);
+    for (std::size_t i = 0; i < fleet_.servers; ++i) {
+      servers_[i].name = config.backend_servers[i].name;
+      servers_[i].health = MakeHealth(i);
+      servers_[i].health->Configure(config, kStart);
+    }
+  }
+
+  std::unique_ptr<ServiceHealth> MakeHealth(std::size_t index) {
+    const std::string owner = std::to_string(index);
+    HealthEndpoint*& endpoint = servers_[index].endpoint;
+    switch (fleet_.strategy) {
+      case Strategy::kPeers:
+        return std::make_unique<ServiceHealth>(owner);
+      case Strategy::kNone:
+        return std::make_unique<ServiceHealth>(
+            owner, [](const BackendServer&, Profile) {
+              return std::make_unique<NoEjection>();
+            });
+      case Strategy::kConsecutive:
+        return std::make_unique<ServiceHealth>(
+            owner, [](const BackendServer&, Profile) {
+              return std::make_unique<ConsecutiveFailures>(kRowLimit);
+            });
+      case Strategy::kEndpoint:
+        break;
+    }
+    return std::make_unique<ServiceHealth>(
+        owner, [&endpoint](const BackendServer&, Profile) {
+          auto judge = std::make_unique<HealthEndpoint>();
+          endpoint = judge.get();
+          return judge;
+        });
+  }
+
+  Condition ConditionOf(std::size_t index, TimePoint when) const {
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(when - kStart - kWarmUp);
+    return age < milliseconds(0) ? Condition{} : scenario_.fault(index, age);
+  }
+
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  void Arrive() {
+    constexpr double kMeanMs = 0.8 * 40 + 0.2 * 120;
+    const double per_step = scenario_.utilisation * kSlots *
+                            static_cast<double>(servers_.size()) / kMeanMs *
+                            static_cast<double>(kStep.count());
+    const int count = std::poisson_distribution<>(per_step)(random_);
+    for (int i = 0; i < count; ++i) {
+      Job job;
+      job.ticket = ++last_ticket_;
+      job.is_large = Draw() < 0.2;
+      job.arrived = now_;
+      job.deadline = now_ + kDeadline;
+      ++result_.requests;
+      Route(job);
+    }
+  }
+
+  // Prefers the least busy of two servers that are in service.
+  void Route(Job job) {
+    std::vector<std::size_t> candidates;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const ServingState state =
+          servers_[i].health->StateOf(servers_[i].name, now_);
+      if (state != ServingState::kEjected) {
+        candidates.push_back(i);
+      }
+    }
+    std::shuffle(candidates.begin(), candidates.end(), random_);
+    std::size_t best = candidates.front();
+    if (candidates.size() > 1 && Busy(candidates[1]) < Busy(best)) {
+      best = candidates[1];
+    }
+    if (best == 0 && Draw() < scenario_.late_share) {
+      job.deadline = std::min(job.deadline, now_ + milliseconds(15));
+      job.tries = kMostTries;
+    }
+    servers_[best].waiting.push_back(job);
+    StartWork(best);
+  }
+
+  double Busy(std::size_t index) const {
+    const Server& server = servers_[index];
+    const std::uint32_t limit =
+        std::max(1U, server.health->SlotLimitOf(server.name, now_));
+    return static_cast<double>(server.running.size() + server.waiting.size()) /
+           limit;
+  }
+
+  void StartWork(std::size_t index) {
+    Server& server = servers_[index];
+    while (!server.waiting.empty() &&
+           server.running.size() <
+               server.health->SlotLimitOf(server.name, now_)) {
+      Job job = server.waiting.front();
+      server.waiting.pop_front();
+      if (job.deadline <= now_) {
+        ++result_.failed;
+        continue;
+      }
+      Begin(index, job);
+    }
+  }
+
+  void Begin(std::size_t index, Job job) {
+    const Condition condition = ConditionOf(index, now_);
+    const double mean = job.is_large ? 120 : 40;
+    const double slowness =
+        condition.slowness * (job.is_large ? condition.slowness_of_jobs : 1);
+    const double drawn = std::exponential_distribution<>(1)(random_);
+    const double took = mean * slowness * (0.6 + 0.4 * drawn);
+    job.started = now_;
+    job.fails = condition.refuses || Draw() < condition.failure_ratio;
+    job.ends = now_ + milliseconds(1 + static_cast<int>(took));
+    if (condition.refuses) {
+      job.ends = now_ + milliseconds(1);
+    }
+    if (condition.hangs) {
+      job.ends = TimePoint::max();
+    }
+    servers_[index].running.push_back(job);
+    servers_[index].health->OnStarted(servers_[index].name, ClassOf(job),
+                                      job.ticket, now_);
+  }
+
+  static const char* ClassOf(const Job& job) {
+    return job.is_large ? "job" : "lookup";
+  }
+
+  void EndWork(std::size_t index) {
+    Server& server = servers_[index];
+    std::vector<Job> ended;
+    std::erase_if(server.running, [&](const Job& job) {
+      const bool is_over = now_ >= std::min(job.ends, job.deadline);
+      if (is_over) {
+        ended.push_back(job);
+      }
+      return is_over;
+    });
+    for (Job& job : ended) {
+      const bool timed_out = job.ends > job.deadline;
+      const bool failed = job.fails || timed_out;
+      server.health->OnEnded(server.name, job.ticket);
+      server.health->Record(
+          server.name,
+          {ClassOf(job),
+           std::chrono::duration_cast<std::chrono::microseconds>(now_ -
+                                                                 job.started),
+           failed, timed_out},
+          now_);
+      if (!failed) {
+        continue;
+      }
+      if (timed_out || ++job.tries >= kMostTries) {
+        ++result_.failed;
+        continue;
+      }
+      job.ticket = ++last_ticket_;
+      Route(job);
+    }
+  }
+
+  void Advance() {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      Server& server = servers_[i];
+      if (server.endpoint != nullptr) {
+        server.endpoint->SetAnswer(
+            ConditionOf(i, now_ - kEndpointLag).endpoint_well);
+      }
+      for (LeaseAsk& ask : server.health->Advance(now_)) {
+        ++result_.messages;
+        const std::size_t to = std::stoul(ask.peer);
+        messages_.push_back(
+            {now_ + kMessageDelay, i, to, std::move(ask), {}, now_, false});
+      }
+      NoteEjections(i);
+    }
+  }
+
+  void NoteEjections(std::size_t index) {
+    Server& server = servers_[index];
+    for (const LogEvent& event : server.health->TakeLogEvents()) {
+      if (event.id != LogEventId::kBackendServerEjected) {
+        continue;
+      }
+      const bool is_right =
+          index == 0 && scenario_.first_is_sick && now_ >= kStart + kWarmUp;
+      if (!is_right) {
+        ++result_.false_ejections;
+      } else if (!server.is_detected) {
+        server.is_detected = true;
+        result_.detections.push_back(
+            std::chrono::duration_cast<milliseconds>(now_ - kStart - kWarmUp));
+      }
+    }
+  }
+
+  void Deliver() {
+    while (!messages_.empty() && messages_.front().due <= now_) {
+      Message message = std::move(messages_.front());
+      messages_.pop_front();
+      if (message.is_reply) {
+        servers_[message.to].health->OnReply(message.ask.request, message.reply,
+                                             message.sent, now_);
+        continue;
+      }
+      message.reply =
+          servers_[message.to].health->Answer(message.ask.request, now_);
+      std::swap(message.from, message.to);
+      message.is_reply = true;
+      message.due = now_ + kMessageDelay;
+      messages_.push_back(std::move(message));
+    }
+  }
+
+  void Count() {
+    std::uint32_t in_service = 0;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const Server& server = servers_[i];
+      const std::uint32_t limit = server.health->SlotLimitOf(server.name, now_);
+      in_service += limit == kSlots ? 1 : 0;
+      if (!ConditionOf(i, now_).is_sick()) {
+        result_.healthy_slot_steps += kSlots;
+        result_.wasted_slot_steps += kSlots - limit;
+      }
+    }
+    result_.floor_violations += in_service < fleet_.floor ? 1 : 0;
+  }
+
+  const Scenario& scenario_;
+  const Fleet& fleet_;
+  Random random_;
+  Result& result_;
+  TimePoint now_;
+  std::uint64_t last_ticket_ = 0;
+  std::vector<Server> servers_;
+  std::deque<Message> messages_;
+};
+
+Condition First(std::size_t server, const Condition& condition) {
+  return server == 0 ? condition : Condition{};
+}
+
+// Sick for one period, well for the next.
+Fault Flapping(milliseconds period) {
+  return [period](std::size_t server, milliseconds age) {
+    const bool is_sick = (age / period) % 2 == 0;
+    return is_sick ? First(server, {.failure_ratio = 0.9}) : Condition{};
+  };
+}
+
+std::vector<Scenario> MakeScenarios() {
+  const auto fixed = [](Condition condition) {
+    return [condition](std::size_t server, milliseconds) {
+      return First(server, condition);
+    };
+  };
+  const auto common = [](Condition condition) {
+    return [condition](std::size_t, milliseconds) { return condition; };
+  };
+  const Fault cold = [](std::size_t server, milliseconds age) {
+    return age < seconds(2) ? First(server, {.slowness = 3}) : Condition{};
+  };
+  return {
+      {"crash", true, 0.4, 0, fixed({.refuses = true, .endpoint_well = false})},
+      {"hang", true, 0.4, 0, fixed({.hangs = true})},
+      {"slow10", true, 0.4, 0, fixed({.slowness = 10})},
+      {"half_fail", true, 0.4, 0, fixed({.failure_ratio = 0.5})},
+      {"slow_class_one", true, 0.4, 0, fixed({.slowness_of_jobs = 10})},
+      {"flap_1s", true, 0.4, 0, Flapping(seconds(1))},
+      {"flap_5s", true, 0.4, 0, Flapping(seconds(5))},
+      {"flap_15s", true, 0.4, 0, Flapping(seconds(15))},
+      {"crash_low_traffic", true, 0.02, 0,
+       fixed({.refuses = true, .endpoint_well = false})},
+      {"healthy", false, 0.4, 0, common({})},
+      {"healthy_busy", false, 0.8, 0, common({})},
+      {"healthy_low_traffic", false, 0.02, 0, common({})},
+      {"slow_class_all", false, 0.2, 0, common({.slowness_of_jobs = 4})},
+      {"common_fault", false, 0.4, 0,
+       common({.failure_ratio = 0.6, .endpoint_well = false})},
+      {"common_hang", false, 0.4, 0, common({.hangs = true})},
+      {"cold_start", false, 0.4, 0, cold},
+      {"late_path", false, 0.4, 0.5, common({})},
+  };
+}
+
+milliseconds Percentile(std::vector<milliseconds> values, double part) {
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(std::lround(part * last))];
+}
+
+void Print(const std::string& name, double value, const char* unit) {
+  std::printf("%s %.4g %s\n", name.c_str(), value, unit);
+}
+
+void Report(const Scenario& scenario,
+            const Fleet& fleet,
+            const Result& result) {
+  const std::string tail =
+      std::string("_") + scenario.name + "_" + fleet.suffix;
+  if (scenario.first_is_sick) {
+    Print("detection_p50_ms" + tail,
+          static_cast<double>(Percentile(result.detections, 0.5).count()),
+          "ms");
+    Print("detection_p99_ms" + tail,
+          static_cast<double>(Percentile(result.detections, 0.99).count()),
+          "ms");
+    Print("missed" + tail, result.missed, "runs");
+  }
+  Print("false_ejections" + tail, result.false_ejections, "ejections");
+  Print("failed_requests" + tail,
+        100.0 * static_cast<double>(result.failed) /
+            static_cast<double>(std::max<std::uint64_t>(1, result.requests)),
+        "%");
+  Print("wasted_slots" + tail,
+        100.0 * static_cast<double>(result.wasted_slot_steps) /
+            static_cast<double>(
+                std::max<std::uint64_t>(1, result.healthy_slot_steps)),
+        "%");
+  Print("messages" + tail, static_cast<double>(result.messages), "messages");
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Compares strategies of detection and ejection.");
+  TCLAP::SwitchArg quick("", "quick", "Few runs.", line);
+  TCLAP::ValueArg<std::uint64_t> first_seed("", "seed", "First seed.", false,
+                                            1001, "number", line);
+  TCLAP::ValueArg<std::uint32_t> runs("", "runs", "Runs of each kind.", false,
+                                      30, "number", line);
+  TCLAP::ValueArg<std::string> only("", "only", "One failure.", false, "",
+                                    "name", line);
+  line.parse(argc, argv);
+  const std::vector<Fleet> fleets = {
+      {"careful", Strategy::kPeers, Profile::kCareful, 6, 4},
+      {"fast", Strategy::kPeers, Profile::kFast, 15, 10},
+      {"consecutive_6", Strategy::kConsecutive, Profile::kCareful, 6, 4},
+      {"consecutive", Strategy::kConsecutive, Profile::kFast, 15, 10},
+      {"endpoint", Strategy::kEndpoint, Profile::kFast, 15, 10},
+      {"none", Strategy::kNone, Profile::kFast, 15, 10},
+  };
+  const std::uint32_t count = quick.getValue() ? 3 : runs.getValue();
+  std::uint64_t floor_violations = 0;
+  std::printf(
+      "# seeds %llu to %llu\n",
+      static_cast<unsigned long long>(first_seed.getValue()),
+      static_cast<unsigned long long>(first_seed.getValue() + count - 1));
+  for (const Scenario& scenario : MakeScenarios()) {
+    if (!only.getValue().empty() && only.getValue() != scenario.name) {
+      continue;
+    }
+    for (const Fleet& fleet : fleets) {
+      Result result;
+      for (std::uint32_t i = 0; i < count; ++i) {
+        Run(scenario, fleet, first_seed.getValue() + i, result).Execute();
+      }
+      Report(scenario, fleet, result);
+      floor_violations += result.floor_violations;
+    }
+  }
+  Print("floor_violations", static_cast<double>(floor_violations), "steps");
+  return floor_violations == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  return vanillafall::Main(argc, argv);
+}
