--- a/packages/decision/peer_relative_judge_test.cc
+++ b/packages/decision/peer_relative_judge_test.cc
@@ -99,6 +99,20 @@
           Verdict::kSick);
 }
 
+TEST_CASE("the first server to see a common fault waits for the others") {
+  const Profile profile = GENERATE(Profile::kCareful, Profile::kFast);
+  Bench bench(profile);
+  bench.PassWell();
+  for (int i = 0; i < 20; ++i) {
+    bench.Record("a", milliseconds(10), true);
+  }
+  bench.HearPeers(0, milliseconds(10), milliseconds(100));
+  REQUIRE(bench.Judge() == Verdict::kSuspect);
+  bench.now_ += milliseconds(100);
+  bench.HearPeers(0.9, milliseconds(10), milliseconds(100));
+  REQUIRE(bench.Judge() == Verdict::kWell);
+}
+
 TEST_CASE("without a comparison a server is suspect but not sick") {
   Bench bench(Profile::kFast);
   bench.PassWell();
--- a/packages/decision/server_health.cc
+++ b/packages/decision/server_health.cc
@@ -149,7 +149,7 @@
     book_.Grant(duration, now);
     grant.granted = true;
     if (IsRenewal(ejector, now)) {
-      grant.digest.latencies.clear();
+      grant.digest = {};
     }
     granted_to_[ejector] = now;
   }
--- a/tools/bench_health.cc
+++ b/tools/bench_health.cc
@@ -5,7 +5,10 @@
 //
 // Prints one line a figure: name, value, unit.
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <tclap/CmdLine.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -19,7 +22,9 @@
 #include <string>
 #include <vector>
 
+#include "decision/lease_book.h"
 #include "decision/service_health.h"
+#include "wire/codec.h"
 
 namespace vanillafall {
 namespace {
@@ -33,6 +38,8 @@
 constexpr milliseconds kWarmUp{15'000};
 constexpr milliseconds kFaultTime{30'000};
 constexpr milliseconds kEndpointLag{2000};
+// Begins when a crashed server has been ejected, and ends before its hold does.
+constexpr milliseconds kRenewalSecond{1500};
 constexpr std::uint32_t kSlots = 3;
 constexpr std::uint32_t kRowLimit = 5;
 constexpr double kUsualFailures = 0.01;
@@ -95,6 +102,8 @@
   std::uint64_t wasted_slot_steps = 0;
   std::uint64_t floor_violations = 0;
   std::uint64_t messages = 0;
+  // Lease requests of the first server in one second of its ejection.
+  std::uint64_t renewals = 0;
 };
 
 struct Job {
@@ -347,6 +356,7 @@
       }
       for (LeaseAsk& ask : server.health->Advance(now_)) {
         ++result_.messages;
+        result_.renewals += i == 0 && IsInRenewalSecond() ? 1 : 0;
         const std::size_t to = std::stoul(ask.peer);
         messages_.push_back(
             {now_ + kMessageDelay, i, to, std::move(ask), {}, now_, false});
@@ -355,6 +365,11 @@
     }
   }
 
+  bool IsInRenewalSecond() const {
+    const auto age = now_ - kStart - kWarmUp;
+    return age >= kRenewalSecond && age < kRenewalSecond + seconds(1);
+  }
+
   void NoteEjections(std::size_t index) {
     Server& server = servers_[index];
     for (const LogEvent& event : server.health->TakeLogEvents()) {
@@ -499,6 +514,46 @@
   Print("messages" + tail, static_cast<double>(result.messages), "messages");
 }
 
+std::size_t SizeOf(const PeerRequest& request) {
+  capnp::MallocMessageBuilder builder;
+  Encode(request, builder.initRoot<wire::PeerRequest>());
+  return capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+}
+
+std::size_t SizeOf(const PeerReply& reply) {
+  capnp::MallocMessageBuilder builder;
+  Encode(reply, builder.initRoot<wire::PeerReply>());
+  return capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+}
+
+// What control costs while one server stays ejected.
+void ReportCost(std::uint64_t seed) {
+  const LeaseRequest request{
+      "restyle-works", "restyle-works-1", {"restyle-works-2"}, kLongestLease};
+  HealthDigest digest{32, 0.01, {}};
+  for (const char* name : {"lookup", "booking", "restyle", "stock"}) {
+    digest.latencies.push_back({name, milliseconds(40), 11});
+  }
+  const LeaseReply reply{{{"restyle-works-2", true, digest}}};
+  const LeaseReply renewal{{{"restyle-works-2", true, {}}}};
+  Print("lease_request_bytes", static_cast<double>(SizeOf(request)), "B");
+  Print("lease_reply_bytes", static_cast<double>(SizeOf(reply)), "B");
+  Print("lease_renewal_bytes", static_cast<double>(SizeOf(renewal)), "B");
+  const Scenario crash = MakeScenarios().front();
+  for (const Fleet& fleet : std::vector<Fleet>{
+           {"6", Strategy::kPeers, Profile::kFast, 6, 4},
+           {"20", Strategy::kPeers, Profile::kFast, 20, 14},
+           {"500", Strategy::kPeers, Profile::kFast, 500, 350}}) {
+    Result result;
+    Run(crash, fleet, seed, result).Execute();
+    const auto renewals = static_cast<double>(result.renewals);
+    Print(std::string("renewals_per_s_") + fleet.suffix, renewals, "1/s");
+    Print(std::string("renewal_bytes_per_s_") + fleet.suffix,
+          renewals * static_cast<double>(SizeOf(request) + SizeOf(renewal)),
+          "B/s");
+  }
+}
+
 int Main(int argc, char** argv) {
   TCLAP::CmdLine line("Compares strategies of detection and ejection.");
   TCLAP::SwitchArg quick("", "quick", "Few runs.", line);
@@ -536,6 +591,9 @@
       floor_violations += result.floor_violations;
     }
   }
+  if (only.getValue().empty() && !quick.getValue()) {
+    ReportCost(first_seed.getValue());
+  }
   Print("floor_violations", static_cast<double>(floor_violations), "steps");
   return floor_violations == 0 ? 0 : 1;
 }
