Break a fleet of real processes on a seeded schedule and check histories

Cause: what callers are told was checked by the demonstration only, with one kill and one hang. A relay stands before each peer port, so that one direction can be held; the setting peer_listen_address lets a daemon listen behind it. A failed try: the first run waited for ever on a backend server that two failures had killed; the script now ends that wait.

--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -17,6 +17,11 @@
 void ReadPorts(TomlReader& root, Settings* settings) {
   settings->caller_address = root.GetAddress("caller_address", Need::kRequired);
   settings->peer_address = root.GetAddress("peer_address", Need::kRequired);
+  settings->peer_listen_address =
+      root.GetAddress("peer_listen_address", Need::kOptional);
+  if (settings->peer_listen_address.empty()) {
+    settings->peer_listen_address = settings->peer_address;
+  }
   settings->operator_address =
       root.GetAddress("operator_address", Need::kOptional);
   if (settings->operator_address.empty()) {
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -36,7 +36,11 @@
   std::string data_centre;
   std::string region;
   std::string caller_address;
+  // Where other daemons reach this one; also its name among them.
   PeerAddress peer_address;
+  // Where it listens for them, when something else stands at peer_address and
+  // passes their bytes on; otherwise the same as peer_address.
+  PeerAddress peer_listen_address;
   std::string operator_address;
   // Empty when the daemon learns the configuration from peers only.
   std::string platform_address;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -78,7 +78,7 @@
       decide_(EngineIdentity(settings), settings.limits, clock, *this),
       control_(KeeperIdentity(settings), clock, *this),
       backend_(settings.limits.max_answer_bytes, *this),
-      peers_(settings.peer_address, *this),
+      peers_(settings.peer_listen_address, *this),
       platform_(settings.platform_address, *this),
       callers_(CallerOptions(settings), clock, *this),
       operators_(settings.operator_address, *this) {}
--- a/packages/transport/peer_node.h
+++ b/packages/transport/peer_node.h
@@ -37,6 +37,7 @@
     virtual void OnMalformedMessage() = 0;
   };
 
+  // The address is the one to listen on.
   PeerNode(PeerAddress address, Listener& listener);
   ~PeerNode();
   PeerNode(const PeerNode&) = delete;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,14 +1,31 @@
 # Starts the sample fleet on loopback: the platform stand-in, seven daemons in
 # seven data centres, and the sample services' backend servers.
+#
+# What a script may set before it reads this file:
+#   PORTS          first of the thousand ports that are used; 18000
+#   SERVICE_FILES  directory of the service files; samples
+#   RELAYED        yes: a relay stands before each daemon's peer port
+#   MORE_LIMITS    lines for [limits] in each daemon's settings
+#   BACKEND_FLAGS  array of more arguments for each backend server stand-in
+
+PORTS="${PORTS:-18000}"
+SERVICE_FILES="${SERVICE_FILES:-$ROOT/samples}"
+RELAYED="${RELAYED:-no}"
+MORE_LIMITS="${MORE_LIMITS:-drain_timeout = \"10s\"}"
+[ -n "${BACKEND_FLAGS+set}" ] || BACKEND_FLAGS=()
 
 DATA_CENTRES=(hervanta nekala kauppi quezon makati laguna batangas)
 REGIONS=(pirkanmaa pirkanmaa pirkanmaa luzon luzon luzon luzon)
-PLATFORM=127.0.0.1:18000
+DAEMONS=(1 2 3 4 5 6 7)
+PLATFORM=127.0.0.1:$PORTS
+RELAY_ADMIN=127.0.0.1:$((PORTS + 90))
 declare -A BACKEND_PID DAEMON_PID
 
-caller_of() { echo "127.0.0.1:$((18000 + $1))"; }
-peer_of() { echo "127.0.0.1:$((18100 + $1))"; }
-operator_of() { echo "127.0.0.1:$((18200 + $1))"; }
+caller_of() { echo "127.0.0.1:$((PORTS + $1))"; }
+peer_of() { echo "127.0.0.1:$((PORTS + 100 + $1))"; }
+operator_of() { echo "127.0.0.1:$((PORTS + 200 + $1))"; }
+# Where the daemon itself listens for peers when a relay stands before it.
+peer_listen_of() { echo "127.0.0.1:$((PORTS + 400 + $1))"; }
 
 # Writes the settings of daemon number $1 and prints the file's name.
 write_settings() {
@@ -22,9 +39,10 @@
 operator_address = "$(operator_of "$1")"
 platform_address = "$PLATFORM"
 seeds = ["$(peer_of 1)", "$(peer_of 4)"]
+$([ "$RELAYED" = yes ] && echo "peer_listen_address = \"$(peer_listen_of "$1")\"")
 
 [limits]
-drain_timeout = "10s"
+$MORE_LIMITS
 END
   echo "$file"
 }
@@ -38,14 +56,23 @@
 
 start_backend() {
   start "$BUILD/standins/backend_standin" --name "$1" --address "$2" \
-    --history "$WORK/history-$1" --work-ms 3
+    --history "$WORK/history-$1" --work-ms 3 "${BACKEND_FLAGS[@]}"
   BACKEND_PID[$1]=$LAST
 }
 
+start_relay() {
+  local routes=()
+  local i
+  for i in "${DAEMONS[@]}"; do
+    routes+=("$(peer_of "$i")=$(peer_listen_of "$i")")
+  done
+  start "$BUILD/standins/relay_standin" --admin "$RELAY_ADMIN" "${routes[@]}"
+}
+
 # Prints "name address" for each backend server of the samples.
 list_backends() {
   awk -F'"' '/^name/ {name = $2} /^address/ {print name, $2}' \
-    "$ROOT"/samples/*.toml
+    "$SERVICE_FILES"/*.toml
 }
 
 # Publishes the documents of a directory, the manifest last.
@@ -58,7 +85,7 @@
 }
 
 manifest_number() {
-  curl -sf "http://$(operator_of "$1")/config" |
+  curl -sf "http://$(operator_of "$1")/config" -m 2 |
     sed -n 's/.*"manifest_number": \([0-9]*\).*/\1/p'
 }
 
@@ -67,16 +94,17 @@
 start_fleet() {
   local i name address
   start "$BUILD/standins/platform_standin" --address "$PLATFORM"
+  [ "$RELAYED" = yes ] && start_relay
   while read -r name address; do
     start_backend "$name" "$address"
   done < <(list_backends)
-  for i in 1 2 3 4 5 6 7; do
+  for i in "${DAEMONS[@]}"; do
     start_daemon "$i"
   done
   wait_for 5 curl -sf "http://$PLATFORM/admin/calls"
-  "$BUILD/bin/vanillafall" bundle "$ROOT/samples" --out "$WORK/documents"
+  "$BUILD/bin/vanillafall" bundle "$SERVICE_FILES" --out "$WORK/documents"
   publish "$WORK/documents"
-  for i in 1 2 3 4 5 6 7; do
+  for i in "${DAEMONS[@]}"; do
     wait_for 10 has_manifest "$i" 1 || { echo "daemon $i has no configuration"; return 1; }
   done
 }
--- /dev/null
+++ b/scripts/prove.sh
@@ -0,0 +1,235 @@
+#!/usr/bin/env bash
+# Breaks a fleet of real processes on purpose while callers work, and holds
+# what callers were told against what ran.
+#
+#   scripts/prove.sh SEED [SECONDS]
+#
+# The seed fixes the schedule of failures and the callers' work; the schedule is
+# printed first. Exit code 0 only if no invariant was broken. With PROVE_KEEP
+# set to a directory, the histories and logs stay there.
+set -uo pipefail
+SEED="${1:?seed}"
+SECONDS_TO_RUN="${2:-15}"
+PORTS="${PROVE_PORTS:-19000}"
+RATE="${PROVE_RATE:-300}"
+# Longer than the longest pause of a daemon: a resend that waits in a paused
+# daemon still meets the memory of its key.
+RESEND_WINDOW="${PROVE_RESEND_WINDOW:-8s}"
+MOST_FREEZE_MS=5000
+source "$(dirname "$0")/lib.sh"
+WORK="${PROVE_KEEP:-$(mktemp -d)}"
+mkdir -p "$WORK"
+rm -rf "$WORK"/documents "$WORK"/files "$WORK"/history-* "$WORK"/daemon-*
+SERVICE_FILES="$WORK/files"
+RELAYED=yes
+MORE_LIMITS=$'drain_timeout = "4s"\nrequest_timeout = "2s"'
+BACKEND_FLAGS=(--crash-on poison)
+source "$(dirname "$0")/fleet.sh"
+[ -x "$BUILD/tools/vf_load" ] || { install_packages && build; } || exit 1
+
+cleanup() {
+  stop_all
+  [ -n "${PROVE_KEEP:-}" ] || rm -rf "$WORK"
+}
+trap cleanup EXIT
+
+VIOLATIONS=0
+violation() {
+  echo "VIOLATION: $*"
+  VIOLATIONS=$((VIOLATIONS + 1))
+}
+
+# The samples, on this script's ports and with its resend window.
+write_service_files() {
+  local file
+  mkdir -p "$SERVICE_FILES"
+  for file in "$ROOT"/samples/*.toml; do
+    sed -e "s/127\.0\.0\.1:18\([0-9]\{3\}\)/127.0.0.1:$((PORTS / 1000))\1/" \
+      -e "s/^resend_window = \"[0-9a-z]*\"/resend_window = \"$RESEND_WINDOW\"/" \
+      "$file" >"$SERVICE_FILES/$(basename "$file")"
+  done
+}
+
+# ---- the schedule ----
+SCHEDULE=()
+at() { SCHEDULE+=("$(printf '%06d' "$1") ${*:2}"); }
+draw() { DRAWN=$(($1 + RANDOM % ($2 - $1 + 1))); }
+pick() {
+  local list=("$@")
+  PICKED=${list[$((RANDOM % ${#list[@]}))]}
+}
+
+# One failure at time $1 and its end; it ends before the run does.
+plan_one() {
+  local begin=$1 until daemon backend
+  draw 1 7 && daemon=$DRAWN
+  pick "${BACKENDS[@]}" && backend=$PICKED
+  draw 300 2500 && until=$((begin + DRAWN))
+  [ "$until" -lt "$LAST_END" ] || until=$LAST_END
+  case $((RANDOM % 16)) in
+    0 | 1) at "$begin" kill_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
+    2) at "$begin" term_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
+    3 | 4 | 5)
+      draw 200 $MOST_FREEZE_MS && until=$((begin + DRAWN))
+      [ "$until" -lt "$LAST_END" ] || until=$LAST_END
+      at "$begin" freeze_daemon "$daemon" && at "$until" wake_daemon "$daemon"
+      ;;
+    6 | 7) at "$begin" kill_backend "$backend" && at "$until" revive_backend "$backend" ;;
+    8) at "$begin" drain_backend "$backend" && at "$until" undrain_backend "$backend" ;;
+    9)
+      pick hang=1 fail_percent=60 slow_ms=400 cut_after=10 "flap_ms=300&hang=1"
+      at "$begin" mode_backend "$backend" "$PICKED" &&
+        at "$until" mode_backend "$backend" work_ms=3
+      ;;
+    10 | 11 | 12)
+      pick hold=in hold=out hold=both delay_ms=60 "hold=in&share=50" "hold=out&share=50"
+      at "$begin" mode_relay "$daemon" "$PICKED" && at "$until" mode_relay "$daemon" reset=0
+      ;;
+    13) at "$begin" mode_relay "$daemon" reset=1 ;;
+    14)
+      pick mode=down mode=stale "mode=ok&delay_ms=700"
+      at "$begin" mode_platform "$PICKED" && at "$until" mode_platform mode=ok
+      ;;
+    15) draw 1 4 && at "$begin" publish_floor "$DRAWN" ;;
+  esac
+}
+
+plan() {
+  local time=500
+  RANDOM=$SEED
+  LAST_END=$((SECONDS_TO_RUN * 1000 - 1000))
+  while [ "$time" -lt "$LAST_END" ]; do
+    plan_one "$time"
+    draw 150 700 && time=$((time + DRAWN))
+  done
+  mapfile -t SCHEDULE < <(printf '%s\n' "${SCHEDULE[@]}" | sort -s -k1,1)
+}
+
+# ---- what the schedule does ----
+declare -A IS_DOWN BACKEND_ADDRESS BACKEND_DOWN OWNER_OF
+PUBLISHED=1
+CUT_DRAINS=0
+is_alive() { kill -0 "$1" 2>/dev/null; }
+
+kill_daemon() {
+  IS_DOWN[$1]=yes
+  kill -9 "${DAEMON_PID[$1]}" 2>/dev/null
+}
+term_daemon() {
+  [ -z "${IS_DOWN[$1]:-}" ] || return 0
+  IS_DOWN[$1]=draining
+  kill "${DAEMON_PID[$1]}"
+}
+revive_daemon() {
+  [ -n "${IS_DOWN[$1]:-}" ] || return 0
+  kill -CONT "${DAEMON_PID[$1]}" 2>/dev/null
+  wait "${DAEMON_PID[$1]}" 2>/dev/null
+  local code=$?
+  if [ "${IS_DOWN[$1]}" = draining ]; then
+    case $code in
+      0) ;;
+      4) CUT_DRAINS=$((CUT_DRAINS + 1)) ;;
+      *) violation "daemon $1 ended its drain with exit code $code" ;;
+    esac
+  fi
+  IS_DOWN[$1]=
+  start_daemon "$1"
+}
+freeze_daemon() { kill -STOP "${DAEMON_PID[$1]}" 2>/dev/null; }
+wake_daemon() { kill -CONT "${DAEMON_PID[$1]}" 2>/dev/null; }
+kill_backend() {
+  BACKEND_DOWN[$1]=yes
+  kill -9 "${BACKEND_PID[$1]}" 2>/dev/null
+  wait "${BACKEND_PID[$1]}" 2>/dev/null
+}
+revive_backend() {
+  is_alive "${BACKEND_PID[$1]}" && return 0
+  wait "${BACKEND_PID[$1]}" 2>/dev/null
+  BACKEND_DOWN[$1]=
+  start_backend "$1" "${BACKEND_ADDRESS[$1]}"
+}
+mode_backend() { post "http://${BACKEND_ADDRESS[$1]}/admin/mode?$2"; }
+drain_backend() { mode_backend "$1" drain=1; }
+undrain_backend() {
+  mode_backend "$1" work_ms=3
+  local i
+  for i in "${DAEMONS[@]}"; do
+    post "http://$(operator_of "$i")/undrain?subject=$1"
+  done
+}
+mode_relay() { post "http://$RELAY_ADMIN/admin/mode?route=$1&$2"; }
+mode_platform() { post "http://$PLATFORM/admin/mode?$1"; }
+publish_floor() {
+  sed -i "s/^floor = [0-9]*/floor = $1/" "$SERVICE_FILES/order-desk.toml"
+  "$BUILD/bin/vanillafall" bundle "$SERVICE_FILES" --out "$WORK/documents" >/dev/null
+  PUBLISHED=$(sed 's/^{"number": *\([0-9]*\).*/\1/' "$WORK/documents/manifest.json")
+  publish "$WORK/documents"
+}
+post() { curl -s -m 1 -o "$WORK/post" -X POST "$1"; }
+
+# Restarts backend servers that crashed, and reports daemons that did.
+look_after() {
+  local name i
+  for name in "${BACKENDS[@]}"; do
+    [ -n "${BACKEND_DOWN[$name]:-}" ] || is_alive "${BACKEND_PID[$name]}" ||
+      revive_backend "$name"
+  done
+  for i in "${DAEMONS[@]}"; do
+    [ -n "${IS_DOWN[$i]:-}" ] || is_alive "${DAEMON_PID[$i]}" || {
+      wait "${DAEMON_PID[$i]}"
+      violation "daemon $i ended by itself with exit code $?"
+      start_daemon "$i"
+    }
+  done
+}
+
+elapsed_ms() { echo $((${EPOCHREALTIME/./} / 1000 - BEGAN_MS)); }
+
+run_schedule() {
+  local time action
+  BEGAN_MS=$((${EPOCHREALTIME/./} / 1000))
+  while read -r time action; do
+    while [ "$(elapsed_ms)" -lt "$((10#$time))" ]; do
+      look_after
+      sleep 0.05
+    done
+    $action
+  done < <(printf '%s\n' "${SCHEDULE[@]}")
+}
+
+write_service_files
+BACKENDS=()
+while read -r name address; do
+  BACKENDS+=("$name")
+  BACKEND_ADDRESS[$name]=$address
+done < <(list_backends)
+plan
+echo "== seed $SEED, $SECONDS_TO_RUN s, $RATE requests/s, schedule (ms, action):"
+printf '   %s\n' "${SCHEDULE[@]}"
+start_fleet || exit 1
+sleep "${RESEND_WINDOW%s}" # a guard abstains for the resend window after its start
+
+CALLERS=()
+for i in "${DAEMONS[@]}"; do
+  CALLERS+=("$(caller_of "$i")")
+done
+"$BUILD/tools/vf_load" --seed "$SEED" --ms $((SECONDS_TO_RUN * 1000)) \
+  --rate "$RATE" --poison-permille 3 --settle-ms 3000 --history "$WORK" \
+  --out "$WORK/callers.jsonl" "${CALLERS[@]}" >"$WORK/figures" 2>"$WORK/evidence" &
+LOAD=$!
+run_schedule
+wait "$LOAD"
+LOAD_CODE=$?
+look_after
+for i in "${DAEMONS[@]}"; do
+  wait_for 10 has_manifest "$i" "$PUBLISHED" ||
+    violation "daemon $i holds configuration $(manifest_number "$i"), published is $PUBLISHED"
+done
+cat "$WORK/figures" "$WORK/evidence"
+echo "drains_cut $CUT_DRAINS count"
+[ "$LOAD_CODE" -eq 0 ] || violation "vf_load ended with exit code $LOAD_CODE"
+if [ "$VIOLATIONS" -ne 0 ]; then
+  echo "prove: seed $SEED broke invariants"
+  exit 1
+fi
+echo "prove: seed $SEED, every invariant held"
--- a/standins/backend_main.cc
+++ b/standins/backend_main.cc
@@ -16,6 +16,8 @@
 //        flap_ms=N        the mode holds only every other period
 //        crash_on=TEXT    the process dies on work whose path has this text
 //        drain=1          answers say that the server is leaving
+//
+// With --crash-on the process dies on such work from its start, in every mode.
 
 #include <tclap/CmdLine.h>
 #include <unistd.h>
@@ -63,8 +65,12 @@
   Backend(std::string name,
           int slots,
           milliseconds work,
-          const std::string& history)
-      : name_(std::move(name)), slots_(slots), base_work_(work) {
+          const std::string& history,
+          std::string crash_on)
+      : name_(std::move(name)),
+        slots_(slots),
+        base_work_(work),
+        crash_on_(std::move(crash_on)) {
     mode_.work = work;
     if (!history.empty()) {
       history_.open(history, std::ios::app);
@@ -136,7 +142,7 @@
     ++work_count_;
     const Mode mode = CurrentMode();
     NoteHistory(request);
-    if (Has(request.path, mode.crash_on)) {
+    if (Has(request.path, mode.crash_on) || Has(request.path, crash_on_)) {
       _exit(kCrashExitCode);
     }
     const bool is_slow =
@@ -184,6 +190,7 @@
   const std::string name_;
   const int slots_;
   const milliseconds base_work_;
+  const std::string crash_on_;
   std::ofstream history_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -206,10 +213,14 @@
                             "MS", line);
   TCLAP::ValueArg<std::string> history("", "history", "history file", false, "",
                                        "FILE", line);
+  TCLAP::ValueArg<std::string> crash_on("", "crash-on",
+                                        "part of paths that crash the server",
+                                        false, "", "TEXT", line);
   line.parse(argc, argv);
   BlockStopSignals();
   Backend backend(name.getValue(), slots.getValue(),
-                  milliseconds(work.getValue()), history.getValue());
+                  milliseconds(work.getValue()), history.getValue(),
+                  crash_on.getValue());
   const StandinServer server(address.getValue(),
                              [&backend](const StandinServer::Request& r) {
                                return backend.Handle(r);
--- /dev/null
+++ b/standins/relay_main.cc
@@ -0,0 +1,263 @@
+// Stand-in for the network between daemons: a TCP relay.
+//
+// Each route listens on one address and passes the bytes of every connection to
+// another. A direction that is held passes nothing; as on a network that drops
+// packets, its bytes arrive late and in order if the hold ends, and never if
+// the connection is reset meanwhile.
+//
+//   POST /admin/mode?KEY=VALUE...     each call sets the whole mode of a route:
+//        route=N          number of the route, from 1; absent for all routes
+//        hold=in|out|both bytes towards the target, back from it, or both
+//        share=P          percent of the connections that are held
+//        delay_ms=N       pause before each piece of bytes is passed on
+//        reset=1          open connections are reset once
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <set>
+#include <system_error>
+#include <thread>
+
+#include "standins/standin_server.h"
+#include "transport/address.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kBacklog = 128;
+constexpr std::size_t kPieceBytes = 16'384;
+constexpr milliseconds kHoldPause{5};
+constexpr std::int64_t kPercent = 100;
+
+int OpenSocket() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    throw std::system_error(errno, std::generic_category(), "socket");
+  }
+  return fd;
+}
+
+sockaddr_in RequireAddress(const std::string& text) {
+  const auto address = ParseAddress(text);
+  if (!address) {
+    throw std::system_error(EINVAL, std::generic_category(), text);
+  }
+  return *address;
+}
+
+// The two sockets of one relayed connection. Closed by whoever lets go last.
+class Link {
+ public:
+  Link(int caller, int target, std::int64_t number)
+      : caller_(caller), target_(target), number_(number) {}
+  ~Link() {
+    close(caller_);
+    close(target_);
+  }
+  Link(const Link&) = delete;
+  Link& operator=(const Link&) = delete;
+
+  int caller() const { return caller_; }
+  int target() const { return target_; }
+  std::int64_t number() const { return number_; }
+  bool is_cut() const { return is_cut_; }
+
+  // Ends both sockets; with reset, the peers see a reset.
+  void Cut(bool with_reset) {
+    if (is_cut_.exchange(true)) {
+      return;
+    }
+    for (const int fd : {caller_, target_}) {
+      if (with_reset) {
+        const linger none{1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+      }
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+
+ private:
+  const int caller_;
+  const int target_;
+  const std::int64_t number_;
+  std::atomic<bool> is_cut_{false};
+};
+
+class Route {
+ public:
+  Route(const std::string& listen_address, const std::string& target)
+      : target_(RequireAddress(target)), listener_(OpenSocket()) {
+    const sockaddr_in address = RequireAddress(listen_address);
+    const int on = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const auto* plain = reinterpret_cast<const sockaddr*>(&address);
+    if (bind(listener_, plain, sizeof(address)) != 0 ||
+        listen(listener_, kBacklog) != 0) {
+      throw std::system_error(errno, std::generic_category(), listen_address);
+    }
+    std::thread([this] { Accept(); }).detach();
+  }
+  // A route lives as long as its process.
+  ~Route() = delete;
+  Route(const Route&) = delete;
+  Route& operator=(const Route&) = delete;
+
+  void SetMode(const StandinServer::Request& request) {
+    const auto hold = request.arguments.find("hold");
+    const std::string text =
+        hold == request.arguments.end() ? "" : hold->second;
+    hold_in_ = text == "in" || text == "both";
+    hold_out_ = text == "out" || text == "both";
+    share_ = request.GetNumber("share", kPercent);
+    delay_ms_ = request.GetNumber("delay_ms", 0);
+    if (request.GetNumber("reset", 0) != 0) {
+      ResetAll();
+    }
+  }
+
+ private:
+  void Accept() {
+    while (true) {
+      const int caller = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (caller < 0) {
+        continue;
+      }
+      Relay(caller);
+    }
+  }
+
+  void Relay(int caller) {
+    const int target = OpenSocket();
+    const auto link = std::make_shared<Link>(caller, target, ++last_number_);
+    const auto* plain = reinterpret_cast<const sockaddr*>(&target_);
+    if (connect(target, plain, sizeof(target_)) != 0) {
+      link->Cut(true);
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      links_.insert(link);
+    }
+    std::thread([this, link] {
+      Pass(*link, link->caller(), link->target(), hold_in_);
+    }).detach();
+    std::thread([this, link] {
+      Pass(*link, link->target(), link->caller(), hold_out_);
+      const std::lock_guard lock(mutex_);
+      links_.erase(link);
+    }).detach();
+  }
+
+  bool IsHeld(const Link& link, const std::atomic<bool>& hold) const {
+    return hold && link.number() * 37 % kPercent < share_;
+  }
+
+  void Pass(Link& link, int from, int to, const std::atomic<bool>& hold) {
+    std::array<char, kPieceBytes> piece{};
+    while (!link.is_cut()) {
+      const ssize_t count = recv(from, piece.data(), piece.size(), 0);
+      if (count <= 0) {
+        break;
+      }
+      while (IsHeld(link, hold) && !link.is_cut()) {
+        std::this_thread::sleep_for(kHoldPause);
+      }
+      std::this_thread::sleep_for(milliseconds(delay_ms_));
+      if (!SendAll(to, piece.data(), static_cast<std::size_t>(count))) {
+        break;
+      }
+    }
+    link.Cut(false);
+  }
+
+  static bool SendAll(int to, const char* data, std::size_t size) {
+    while (size > 0) {
+      const ssize_t sent = send(to, data, size, MSG_NOSIGNAL);
+      if (sent <= 0) {
+        return false;
+      }
+      data += sent;
+      size -= static_cast<std::size_t>(sent);
+    }
+    return true;
+  }
+
+  void ResetAll() {
+    const std::lock_guard lock(mutex_);
+    for (const auto& link : links_) {
+      link->Cut(true);
+    }
+  }
+
+  const sockaddr_in target_;
+  const int listener_;
+  std::atomic<bool> hold_in_{false};
+  std::atomic<bool> hold_out_{false};
+  std::atomic<std::int64_t> share_{kPercent};
+  std::atomic<std::int64_t> delay_ms_{0};
+  std::int64_t last_number_ = 0;
+  std::mutex mutex_;
+  std::set<std::shared_ptr<Link>> links_;
+};
+
+// Opens "LISTEN=TARGET"; the route is never deleted.
+Route* OpenRoute(const std::string& text) {
+  const std::size_t at = text.find('=');
+  if (at == std::string::npos) {
+    throw std::system_error(EINVAL, std::generic_category(), text);
+  }
+  return new Route(text.substr(0, at), text.substr(at + 1));
+}
+
+StandinServer::Response SetMode(const std::vector<Route*>& routes,
+                                const StandinServer::Request& request) {
+  if (request.path != "/admin/mode") {
+    return {{kNotFound, {}, ""}};
+  }
+  const std::int64_t number = request.GetNumber("route", 0);
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    if (number == 0 || number == static_cast<std::int64_t>(i) + 1) {
+      routes[i]->SetMode(request);
+    }
+  }
+  return {{kOk, {}, "ok\n"}};
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Stand-in for the network between daemons");
+  TCLAP::ValueArg<std::string> admin("", "admin", "where to take orders", true,
+                                     "", "HOST:PORT", line);
+  TCLAP::UnlabeledMultiArg<std::string> texts("routes", "routes to relay", true,
+                                              "LISTEN=TARGET", line);
+  line.parse(argc, argv);
+  BlockStopSignals();
+  std::vector<Route*> routes;
+  for (const std::string& text : texts.getValue()) {
+    routes.push_back(OpenRoute(text));
+  }
+  const StandinServer server(admin.getValue(),
+                             [&routes](const StandinServer::Request& request) {
+                               return SetMode(routes, request);
+                             });
+  WaitForStopSignal();
+  // The relaying threads still use their routes.
+  _exit(0);
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  return vanillafall::Main(argc, argv);
+}
