Test the transports byte by byte, and mend what three of the traps showed

Cause: bytes that a backend server sent after its whole answer stayed on the kept connection, and the library took them for the answer to the next request: a caller could get an answer that was not its own. A drain left the callers' port open, so that new callers connected and waited in vain, and kept connections went on bringing requests. Change: before a request is sent, its connection must have nothing to read; otherwise it goes over a fresh one. A drain shuts the port, and each answer ends its connection. Raw-socket servers and callers bring about refusals, resets, cuts, late, over-long and reordered answers, slow and oversize senders, frozen peers and garbage. Ruled out: asking the library for the socket inside its callback; it names the socket only after the transfer has ended, so open_sockets.h finds it by its two ends.

--- a/packages/transport/backend_client.cc
+++ b/packages/transport/backend_client.cc
@@ -1,6 +1,8 @@
 #include "transport/backend_client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
@@ -11,6 +13,7 @@
 #include <variant>
 
 #include "base/bounded_ring.h"
+#include "transport/open_sockets.h"
 
 namespace vanillafall {
 namespace {
@@ -30,18 +33,33 @@
 // One call in progress; owns its library handles.
 class Transfer {
  public:
-  Transfer(BackendClient::Call call, std::size_t max_answer_bytes);
+  Transfer(BackendClient::Call call,
+           std::size_t max_answer_bytes,
+           OpenSockets& sockets);
   ~Transfer();
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
 
   CURL* easy() const { return easy_; }
+  // True when nothing was sent because the kept connection had bytes left over.
+  bool is_left_over() const { return is_left_over_; }
+  bool is_fresh() const { return is_fresh_; }
+  // Makes the next run open a connection of its own.
+  void UseFreshConnection();
   BackendClient::CallId id() const { return call_.id; }
   // Reads how the library ended the transfer.
   BackendClient::Result Finish(CURLcode code);
 
  private:
-  static int OnReadyToSend(void* self, char*, char*, int, int);
+  static int OnReadyToSend(void* self,
+                           char* remote_ip,
+                           char* local_ip,
+                           int remote_port,
+                           int local_port);
+  static curl_socket_t OnOpenSocket(void* sockets,
+                                    curlsocktype purpose,
+                                    curl_sockaddr* address);
+  static int OnCloseSocket(void* sockets, curl_socket_t fd);
   static std::size_t OnHeader(char* data,
                               std::size_t size,
                               std::size_t count,
@@ -58,17 +76,23 @@
 
   BackendClient::Call call_;
   const std::size_t max_answer_bytes_;
+  OpenSockets& sockets_;
   CURL* const easy_;
   curl_slist* headers_ = nullptr;
   int sends_ = 0;
+  bool is_left_over_ = false;
+  bool is_fresh_ = false;
   bool is_too_large_ = false;
   bool has_length_ = false;
   HttpResponse response_;
 };
 
-Transfer::Transfer(BackendClient::Call call, std::size_t max_answer_bytes)
+Transfer::Transfer(BackendClient::Call call,
+                   std::size_t max_answer_bytes,
+                   OpenSockets& sockets)
     : call_(std::move(call)),
       max_answer_bytes_(max_answer_bytes),
+      sockets_(sockets),
       easy_(curl_easy_init()) {
   SetUpRequest();
   SetUpHeaders();
@@ -104,6 +128,11 @@
   }
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &Transfer::OnReadyToSend);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OnOpenSocket);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, &sockets_);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION,
+                   &Transfer::OnCloseSocket);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
@@ -128,13 +157,45 @@
 }
 
 // The library calls this each time it is about to send the request. It must
-// never send a second time, so a resend is aborted here.
-int Transfer::OnReadyToSend(void* self, char*, char*, int, int) {
+// never send a second time, so a resend is aborted here. Bytes that are there
+// before the request is sent belong to an earlier answer; the library would
+// take them for the answer to this request.
+int Transfer::OnReadyToSend(void* self,
+                            char* remote_ip,
+                            char* /*local_ip*/,
+                            int remote_port,
+                            int local_port) {
   auto* transfer = static_cast<Transfer*>(self);
+  const bool has_input =
+      transfer->sockets_.HasInput({remote_ip, remote_port, local_port});
+  if (transfer->sends_ == 0 && has_input) {
+    transfer->is_left_over_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++transfer->sends_;
   return transfer->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+curl_socket_t Transfer::OnOpenSocket(void* sockets,
+                                     curlsocktype /*purpose*/,
+                                     curl_sockaddr* address) {
+  const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                        address->protocol);
+  static_cast<OpenSockets*>(sockets)->OnOpened(fd);
+  return fd;
+}
+
+int Transfer::OnCloseSocket(void* sockets, curl_socket_t fd) {
+  static_cast<OpenSockets*>(sockets)->OnClosed(fd);
+  return close(fd);
+}
+
+void Transfer::UseFreshConnection() {
+  is_left_over_ = false;
+  is_fresh_ = true;
+  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 std::size_t Transfer::OnHeader(char* data,
                                std::size_t size,
                                std::size_t count,
@@ -264,6 +325,8 @@
   const std::size_t max_answer_bytes_;
   Listener& listener_;
   BoundedRing<Command> ring_;
+  // The library closes its sockets when multi_ ends.
+  OpenSockets sockets_;
   CURLM* const multi_;
   std::atomic<bool> is_stopping_{false};
   std::map<CallId, std::unique_ptr<Transfer>> transfers_;
@@ -276,6 +339,7 @@
     int running = 0;
     curl_multi_perform(multi_, &running);
     TakeFinished();
+    // A handle that was added again is due at once, and the poll knows it.
     curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
   }
   for (const auto& [id, transfer] : transfers_) {
@@ -296,7 +360,7 @@
 
 void BackendClient::Impl::Begin(Call call) {
   auto transfer =
-      std::make_unique<Transfer>(std::move(call), max_answer_bytes_);
+      std::make_unique<Transfer>(std::move(call), max_answer_bytes_, sockets_);
   curl_multi_add_handle(multi_, transfer->easy());
   const CallId id = transfer->id();
   transfers_[id] = std::move(transfer);
@@ -322,6 +386,11 @@
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
     auto* transfer = reinterpret_cast<Transfer*>(context);
     curl_multi_remove_handle(multi_, transfer->easy());
+    if (transfer->is_left_over() && !transfer->is_fresh()) {
+      transfer->UseFreshConnection();
+      curl_multi_add_handle(multi_, transfer->easy());
+      continue;
+    }
     Result result = transfer->Finish(code);
     transfers_.erase(result.id);
     listener_.OnBackendResult(std::move(result));
--- a/packages/transport/backend_client.h
+++ b/packages/transport/backend_client.h
@@ -12,7 +12,8 @@
 
 // HTTP calls to backend servers, on one backend thread. No request is ever
 // sent twice: where the library would resend on a fresh connection, the call
-// ends as lost instead. A connection with anything left over is closed.
+// ends as lost instead. A connection with anything left over is closed, and the
+// request goes over a fresh one.
 class BackendClient {
  public:
   using CallId = std::uint64_t;
--- /dev/null
+++ b/packages/transport/backend_client_test.cc
@@ -0,0 +1,260 @@
+#include "transport/backend_client.h"
+
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <map>
+
+#include "transport/raw_socket_test.h"
+
+namespace vanillafall {
+namespace {
+
+using End = BackendClient::End;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostAnswerBytes = 1000;
+constexpr char kEndOfHeaders[] = "\r\n\r\n";
+
+std::string Answer(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         kEndOfHeaders + body;
+}
+
+class Results final : public BackendClient::Listener {
+ public:
+  void OnBackendResult(BackendClient::Result result) override {
+    const std::lock_guard lock(mutex_);
+    results_[result.id] = std::move(result);
+  }
+  BackendClient::Result WaitFor(BackendClient::CallId id) {
+    REQUIRE(Eventually([&] {
+      const std::lock_guard lock(mutex_);
+      return results_.contains(id);
+    }));
+    const std::lock_guard lock(mutex_);
+    return results_[id];
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<BackendClient::CallId, BackendClient::Result> results_;
+};
+
+class Fixture {
+ public:
+  Fixture() { client_.Start(); }
+
+  void Send(BackendClient::CallId id,
+            const std::string& address,
+            milliseconds timeout = milliseconds(2000)) {
+    const HttpRequest request{"POST", "/" + std::to_string(id), {}, "work"};
+    REQUIRE(client_.Send({id, address, request, timeout}));
+  }
+  BackendClient::Result Call(BackendClient::CallId id,
+                             const std::string& address,
+                             milliseconds timeout = milliseconds(2000)) {
+    Send(id, address, timeout);
+    return results_.WaitFor(id);
+  }
+  BackendClient& client() { return client_; }
+  Results& results() { return results_; }
+
+ private:
+  Results results_;
+  BackendClient client_{kMostAnswerBytes, results_};
+};
+
+// Reads a request, sends the bytes and closes.
+RawServer::Script SendsAndCloses(const std::string& bytes) {
+  return [bytes](RawSocket& socket, int) {
+    socket.ReadUntil("work");
+    socket.Send(bytes);
+  };
+}
+
+// Answers each request with its own target.
+void Serve(RawSocket& socket) {
+  while (true) {
+    const std::string line = socket.ReadUntil("\r\n");
+    if (!socket.is_open() || line.empty()) {
+      return;
+    }
+    socket.ReadUntil("work");
+    const std::size_t at = line.find('/');
+    socket.Send(Answer(line.substr(at, line.find(' ', at) - at)));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("only a refused connection proves that nothing was sent") {
+  Fixture fixture;
+  CHECK(fixture.Call(1, ClosedAddress()).end == End::kNotConnected);
+}
+
+TEST_CASE("a connection that breaks after the request leaves it unknown") {
+  Fixture fixture;
+  SECTION("reset before the request is read") {
+    RawServer server([](RawSocket& socket, int) {
+      std::this_thread::sleep_for(milliseconds(100));
+      socket.Reset();
+    });
+    CHECK(fixture.Call(1, server.address()).end == End::kLost);
+  }
+  SECTION("reset after the request line") {
+    RawServer server([](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n");
+      socket.Reset();
+    });
+    CHECK(fixture.Call(1, server.address()).end == End::kLost);
+  }
+  SECTION("closed after the request") {
+    RawServer server(SendsAndCloses(""));
+    CHECK(fixture.Call(1, server.address()).end == End::kLost);
+    CHECK(server.connections() == 1);
+  }
+  SECTION("bytes that are no HTTP") {
+    RawServer server(SendsAndCloses("garbage garbage garbage\r\n\r\n"));
+    CHECK(fixture.Call(1, server.address()).end == End::kLost);
+  }
+}
+
+TEST_CASE("an answer that is not whole is not passed on") {
+  Fixture fixture;
+  const auto end_of = [&fixture](const std::string& bytes) {
+    RawServer server(SendsAndCloses(bytes));
+    const BackendClient::Result result = fixture.Call(1, server.address());
+    CHECK(result.response.body.empty());
+    return result.end;
+  };
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  SECTION("shorter than its length") {
+    CHECK(end_of(start + "Content-Length: 9\r\n\r\nhalf") == End::kTruncated);
+  }
+  SECTION("cut in its headers") {
+    CHECK(end_of(start + "Content-Le") == End::kTruncated);
+  }
+  SECTION("cut between two chunks") {
+    CHECK(end_of(start + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n") ==
+          End::kTruncated);
+  }
+  SECTION("without a length") {
+    CHECK(end_of(start + "\r\nhalf") == End::kTruncated);
+  }
+  SECTION("longer than allowed") {
+    CHECK(end_of(Answer(std::string(kMostAnswerBytes + 1, 'x'))) ==
+          End::kTooLarge);
+  }
+}
+
+TEST_CASE("a server error is an answer") {
+  RawServer server(
+      SendsAndCloses("HTTP/1.1 503 Shed\r\nContent-Length: 4\r\n\r\nshed"));
+  Fixture fixture;
+  const BackendClient::Result result = fixture.Call(1, server.address());
+  CHECK(result.end == End::kAnswered);
+  CHECK(result.response.status == 503);
+}
+
+TEST_CASE("a connection with anything left over is not used again") {
+  Fixture fixture;
+  const std::string foreign = Answer("foreign");
+  SECTION("an over-long answer in one piece") {
+    RawServer server([&foreign](RawSocket& socket, int connection) {
+      if (connection > 1) {
+        return Serve(socket);
+      }
+      socket.ReadUntil("work");
+      socket.Send(Answer("/1") + foreign);
+      Serve(socket);
+    });
+    CHECK(fixture.Call(1, server.address()).response.body == "/1");
+    CHECK(fixture.Call(2, server.address()).response.body == "/2");
+  }
+  SECTION("bytes that come after the answer") {
+    std::atomic<bool> is_sent{false};
+    RawServer server([&](RawSocket& socket, int connection) {
+      if (connection > 1) {
+        return Serve(socket);
+      }
+      socket.ReadUntil("work");
+      socket.Send(Answer("/1"));
+      std::this_thread::sleep_for(milliseconds(50));
+      socket.Send(foreign);
+      is_sent = true;
+      Serve(socket);
+    });
+    CHECK(fixture.Call(1, server.address()).response.body == "/1");
+    REQUIRE(Eventually([&is_sent] { return is_sent.load(); }));
+    std::this_thread::sleep_for(milliseconds(20));
+    CHECK(fixture.Call(2, server.address()).response.body == "/2");
+  }
+  SECTION("an answer that comes after its timeout") {
+    RawServer server([](RawSocket& socket, int connection) {
+      if (connection > 1) {
+        return Serve(socket);
+      }
+      socket.ReadUntil("work");
+      std::this_thread::sleep_for(milliseconds(200));
+      socket.Send(Answer("/1"));
+    });
+    CHECK(fixture.Call(1, server.address(), milliseconds(100)).end ==
+          End::kTimeout);
+    std::this_thread::sleep_for(milliseconds(150));
+    CHECK(fixture.Call(2, server.address()).response.body == "/2");
+  }
+}
+
+TEST_CASE("a kept connection that dies under a request is not tried again") {
+  std::atomic<int> requests{0};
+  const auto read = [&requests](RawSocket& socket) {
+    const bool is_whole = socket.ReadUntil("work").ends_with("work");
+    requests += is_whole ? 1 : 0;
+  };
+  RawServer server([&read](RawSocket& socket, int) {
+    read(socket);
+    socket.Send(Answer("first"));
+    read(socket);
+  });
+  Fixture fixture;
+  CHECK(fixture.Call(1, server.address()).end == End::kAnswered);
+  CHECK(fixture.Call(2, server.address()).end == End::kLost);
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(requests == 2);
+  CHECK(server.connections() <= 2);
+}
+
+TEST_CASE("answers out of order each belong to their own call") {
+  std::atomic<bool> is_second_done{false};
+  RawServer server([&is_second_done](RawSocket& socket, int) {
+    const std::string line = socket.ReadUntil("\r\n");
+    socket.ReadUntil("work");
+    const bool is_first = line.find("/1 ") != std::string::npos;
+    if (is_first) {
+      Eventually([&is_second_done] { return is_second_done.load(); });
+    }
+    socket.Send(Answer(is_first ? "/1" : "/2"));
+  });
+  Fixture fixture;
+  fixture.Send(1, server.address());
+  CHECK(fixture.Call(2, server.address()).response.body == "/2");
+  is_second_done = true;
+  CHECK(fixture.results().WaitFor(1).response.body == "/1");
+}
+
+TEST_CASE("a cancelled call ends once and closes its connection") {
+  std::atomic<bool> is_closed{false};
+  RawServer server([&is_closed](RawSocket& socket, int) {
+    socket.ReadUntil("work");
+    socket.ReadUntil("nothing more");
+    is_closed = !socket.is_open();
+  });
+  Fixture fixture;
+  fixture.Send(1, server.address());
+  REQUIRE(Eventually([&server] { return server.connections() == 1; }));
+  fixture.client().Cancel(1);
+  CHECK(fixture.results().WaitFor(1).end == End::kCancelled);
+  CHECK(Eventually([&is_closed] { return is_closed.load(); }));
+}
+
+}  // namespace vanillafall
--- a/packages/transport/caller_server.cc
+++ b/packages/transport/caller_server.cc
@@ -1,6 +1,8 @@
 #include "transport/caller_server.h"
 
 #include <microhttpd.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
@@ -49,8 +51,9 @@
   return length;
 }
 
-// Builds the library's response; a refusal gets a short text as its body.
-MHD_Response* MakeResponse(const CallerServer::Answer& answer) {
+// Builds the library's response; a refusal gets a short text as its body. The
+// last answer of a connection says so.
+MHD_Response* MakeResponse(const CallerServer::Answer& answer, bool is_last) {
   const HttpResponse& response = answer.response;
   std::string text = response.body;
   if (response.status == 0) {
@@ -66,15 +69,19 @@
   }
   MHD_add_response_header(made, kOutcomeHeader, ToString(answer.outcome));
   MHD_add_response_header(made, kReasonHeader, ToString(answer.reason));
+  if (is_last) {
+    MHD_add_response_header(made, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   return made;
 }
 
 MHD_Result Queue(MHD_Connection* connection,
-                 const CallerServer::Answer& answer) {
+                 const CallerServer::Answer& answer,
+                 bool is_last) {
   const int own_status = answer.response.status;
   const int status =
       own_status == 0 ? GetReasonInfo(answer.reason).http_status : own_status;
-  MHD_Response* response = MakeResponse(answer);
+  MHD_Response* response = MakeResponse(answer, is_last);
   const MHD_Result result =
       MHD_queue_response(connection, static_cast<unsigned>(status), response);
   MHD_destroy_response(response);
@@ -133,6 +140,8 @@
   const Clock& clock_;
   Listener& listener_;
   MHD_Daemon* daemon_ = nullptr;
+  std::atomic<bool> is_draining_{false};
+  MHD_socket quiesced_fd_ = MHD_INVALID_SOCKET;
   std::atomic<RequestId> last_id_{0};
   std::atomic<std::size_t> open_count_{0};
   std::mutex mutex_;
@@ -165,9 +174,13 @@
 }
 
 void CallerServer::Impl::StopAccepting() {
-  if (daemon_ != nullptr) {
-    MHD_quiesce_daemon(daemon_);
+  if (daemon_ == nullptr || is_draining_.exchange(true)) {
+    return;
   }
+  // The library leaves the port open. Callers would connect and wait in vain;
+  // refused, they know at once that nothing was sent.
+  quiesced_fd_ = MHD_quiesce_daemon(daemon_);
+  shutdown(quiesced_fd_, SHUT_RDWR);
 }
 
 void CallerServer::Impl::Stop() {
@@ -185,6 +198,9 @@
   }
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
+  if (is_draining_) {
+    close(quiesced_fd_);
+  }
 }
 
 void CallerServer::Impl::SendAnswer(RequestId id, Answer answer) {
@@ -247,7 +263,7 @@
                                       std::size_t* size,
                                       Exchange* exchange) {
   if (exchange->answer) {
-    return Queue(connection, *exchange->answer);
+    return Queue(connection, *exchange->answer, is_draining_);
   }
   if (!exchange->has_headers) {
     return TakeHeaders(connection, method, exchange);
@@ -259,7 +275,7 @@
   }
   if (exchange->refusal != Reason::kOk) {
     listener_.OnCallerRefused(exchange->refusal);
-    return Queue(connection, Refusal(exchange->refusal));
+    return Queue(connection, Refusal(exchange->refusal), is_draining_);
   }
   return HandOver(connection, exchange);
 }
@@ -282,7 +298,7 @@
     return MHD_YES;
   }
   listener_.OnCallerRefused(Reason::kTooLarge);
-  return Queue(connection, Refusal(Reason::kTooLarge));
+  return Queue(connection, Refusal(Reason::kTooLarge), is_draining_);
 }
 
 void CallerServer::Impl::TakeBody(const char* data,
--- a/packages/transport/caller_server.h
+++ b/packages/transport/caller_server.h
@@ -52,7 +52,8 @@
 
   // Opens the port and starts the thread.
   std::optional<Error> Start();
-  // Closes the port to new connections; open requests go on.
+  // Closes the port to new connections; open requests go on, and each answer
+  // ends its connection.
   void StopAccepting();
   // Ends the thread. Requests not yet answered are cut.
   void Stop();
--- /dev/null
+++ b/packages/transport/caller_server_test.cc
@@ -0,0 +1,209 @@
+#include "transport/caller_server.h"
+
+#include <catch2/catch.hpp>
+
+#include "transport/raw_socket_test.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostHeaderBytes = 4096;
+constexpr std::uint32_t kMostBodyBytes = 1000;
+constexpr char kGet[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+// Keeps the requests; a test answers them when it wants.
+class Requests final : public CallerServer::Listener {
+ public:
+  struct Request {
+    CallerServer::RequestId id = 0;
+    HttpRequest http;
+  };
+
+  bool OnCallerRequest(CallerServer::RequestId id, HttpRequest http) override {
+    const std::lock_guard lock(mutex_);
+    requests_.push_back({id, std::move(http)});
+    return !is_full_;
+  }
+  void OnCallerRefused(Reason reason) override {
+    const std::lock_guard lock(mutex_);
+    refusals_.push_back(reason);
+  }
+  std::size_t count() {
+    const std::lock_guard lock(mutex_);
+    return requests_.size();
+  }
+  Request WaitFor(std::size_t index) {
+    REQUIRE(Eventually([&] { return count() > index; }));
+    const std::lock_guard lock(mutex_);
+    return requests_[index];
+  }
+  std::vector<Reason> refusals() {
+    const std::lock_guard lock(mutex_);
+    return refusals_;
+  }
+  void set_full() { is_full_ = true; }
+
+ private:
+  std::mutex mutex_;
+  std::atomic<bool> is_full_{false};
+  std::vector<Request> requests_;
+  std::vector<Reason> refusals_;
+};
+
+class Fixture {
+ public:
+  Fixture() { REQUIRE(!server_.Start()); }
+  CallerServer& server() { return server_; }
+  Requests& requests() { return requests_; }
+  const std::string& address() const { return address_; }
+
+  // Answers a request with a body of its own target.
+  void Answer(std::size_t index) {
+    const Requests::Request request = requests_.WaitFor(index);
+    const HttpResponse response{200, {}, "for " + request.http.target + "."};
+    server_.SendAnswer(request.id, {Outcome::kDone, Reason::kOk, response});
+  }
+
+ private:
+  const std::string address_ = ClosedAddress();
+  const SystemClock clock_;
+  Requests requests_;
+  CallerServer server_{
+      {address_, kMostHeaderBytes, kMostBodyBytes, 100, milliseconds(1000)},
+      clock_,
+      requests_};
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("pipelined requests are answered in order, each its own") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  caller.Send(std::string(kGet) + "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.Answer(0);
+  CHECK(Has(caller.ReadUntil("for /1."), "Vanillafall-Outcome: done"));
+  fixture.Answer(1);
+  CHECK(Has(caller.ReadUntil("for /2."), "for /2."));
+}
+
+TEST_CASE("what is too large is refused as not run") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  SECTION("a declared body") {
+    caller.Send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
+  }
+  SECTION("a chunked body") {
+    caller.Send(
+        "POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "7d0\r\n" +
+        std::string(2000, 'x') + "\r\n0\r\n\r\n");
+  }
+  SECTION("headers") {
+    caller.Send("GET /1 HTTP/1.1\r\nHost: x\r\nX-Long: " +
+                std::string(kMostHeaderBytes + 100, 'x') + "\r\n\r\n");
+  }
+  const std::string answer = caller.ReadUntil("too-large\n");
+  CHECK(Has(answer, "HTTP/1.1 413"));
+  CHECK(Has(answer, "Vanillafall-Outcome: not run"));
+  CHECK(fixture.requests().count() == 0);
+  CHECK(fixture.requests().refusals() == std::vector{Reason::kTooLarge});
+}
+
+TEST_CASE("what the library refuses itself is never handed over") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  SECTION("a malformed request line") {
+    caller.Send("GARBAGE\r\n\r\n");
+  }
+  SECTION("headers beyond the connection's memory") {
+    caller.Send("GET /1 HTTP/1.1\r\nHost: x\r\nX-Long: " +
+                std::string(kMostHeaderBytes * 4, 'x') + "\r\n\r\n");
+  }
+  SECTION("a length that is no number") {
+    caller.Send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n");
+  }
+  const std::string answer = caller.ReadUntil("never", milliseconds(500));
+  CHECK((answer.empty() || Has(answer, "HTTP/1.1 4")));
+  CHECK(fixture.requests().count() == 0);
+  CHECK(Eventually([&] { return fixture.server().open_count() == 0; }));
+}
+
+TEST_CASE("a slow sender is ended and counted") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  SECTION("one that stops") {
+    caller.Send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nx");
+    caller.ReadUntil("never", milliseconds(4000));
+  }
+  SECTION("one that trickles") {
+    caller.Send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n");
+    for (int i = 0; i < 5; ++i) {
+      caller.Send("x");
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+    CHECK(Has(caller.ReadUntil("slow-sender\n"), "HTTP/1.1 408"));
+  }
+  CHECK(fixture.requests().count() == 0);
+  CHECK(Eventually([&] {
+    return fixture.requests().refusals() == std::vector{Reason::kSlowSender};
+  }));
+}
+
+TEST_CASE("a full listener is told to the caller as not run") {
+  Fixture fixture;
+  fixture.requests().set_full();
+  RawSocket caller(fixture.address());
+  caller.Send(kGet);
+  CHECK(Has(caller.ReadUntil("overloaded\n"), "Vanillafall-Outcome: not run"));
+}
+
+TEST_CASE("a caller that leaves while its request waits is let go") {
+  Fixture fixture;
+  {
+    RawSocket caller(fixture.address());
+    caller.Send(kGet);
+    fixture.requests().WaitFor(0);
+    caller.Reset();
+  }
+  CHECK(fixture.server().open_count() == 1);
+  fixture.Answer(0);
+  CHECK(Eventually([&] { return fixture.server().open_count() == 0; }));
+  RawSocket next(fixture.address());
+  next.Send(kGet);
+  fixture.Answer(1);
+  CHECK(Has(next.ReadUntil("for /1."), "done"));
+}
+
+TEST_CASE("an idle connection does not hold up a drain") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  caller.Send(kGet);
+  fixture.Answer(0);
+  caller.ReadUntil("for /1.");
+  CHECK(Eventually([&] { return fixture.server().open_count() == 0; }));
+}
+
+TEST_CASE("a drain answers open requests and takes no new connection") {
+  Fixture fixture;
+  RawSocket caller(fixture.address());
+  caller.Send(kGet);
+  fixture.requests().WaitFor(0);
+  fixture.server().StopAccepting();
+  const RawSocket late(fixture.address());
+  CHECK_FALSE(late.is_open());
+  fixture.Answer(0);
+  const std::string answer = caller.ReadUntil("for /1.");
+  CHECK(Has(answer, "HTTP/1.1 200"));
+  // A kept connection would bring further requests until the drain times out.
+  CHECK(Has(answer, "Connection: close"));
+  caller.ReadUntil("never", milliseconds(1000));
+  CHECK_FALSE(caller.is_open());
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/transport/peer_node_test.cc
@@ -0,0 +1,237 @@
+#include "transport/peer_node.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "transport/raw_socket_test.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{2000};
+constexpr char kMarker[] = "body-that-must-not-arrive";
+
+PeerRequest MakeRun(const std::string& target) {
+  RunRequest run;
+  run.request = {"POST", target, {}, kMarker};
+  return run;
+}
+
+// Keeps what came; a test replies when it wants.
+class Calls final : public PeerNode::Listener {
+ public:
+  bool OnPeerAsked(PeerNode::CallId call, PeerRequest request) override {
+    const std::lock_guard lock(mutex_);
+    asked_.push_back(call);
+    targets_[call] = std::holds_alternative<RunRequest>(request)
+                         ? std::get<RunRequest>(request).request.target
+                         : "";
+    return !is_full_;
+  }
+  void OnPeerReplied(PeerNode::CallId call, PeerNode::Result result) override {
+    const std::lock_guard lock(mutex_);
+    ++ends_[call];
+    results_[call] = std::move(result);
+  }
+  void OnMalformedMessage() override { ++malformed_; }
+
+  PeerNode::CallId WaitForAsked(std::size_t index) {
+    REQUIRE(Eventually([&] {
+      const std::lock_guard lock(mutex_);
+      return asked_.size() > index;
+    }));
+    const std::lock_guard lock(mutex_);
+    return asked_[index];
+  }
+  PeerNode::Result WaitForResult(PeerNode::CallId call) {
+    REQUIRE(Eventually([&] {
+      const std::lock_guard lock(mutex_);
+      return results_.contains(call);
+    }));
+    const std::lock_guard lock(mutex_);
+    CHECK(ends_[call] == 1);
+    return results_[call];
+  }
+  std::string TargetOf(PeerNode::CallId call) {
+    const std::lock_guard lock(mutex_);
+    return targets_[call];
+  }
+  int malformed() const { return malformed_; }
+  void set_full() { is_full_ = true; }
+
+ private:
+  std::mutex mutex_;
+  std::atomic<bool> is_full_{false};
+  std::atomic<int> malformed_{0};
+  std::vector<PeerNode::CallId> asked_;
+  std::map<PeerNode::CallId, std::string> targets_;
+  std::map<PeerNode::CallId, PeerNode::Result> results_;
+  std::map<PeerNode::CallId, int> ends_;
+};
+
+class Node {
+ public:
+  Node() { REQUIRE(!node_.Start()); }
+  PeerNode& node() { return node_; }
+  Calls& calls() { return calls_; }
+  const std::string& address() const { return address_; }
+
+  // Replies with the call's own target as the answer's body.
+  void Reply(std::size_t index, Outcome outcome = Outcome::kDone) {
+    const PeerNode::CallId call = calls_.WaitForAsked(index);
+    RunReply reply;
+    reply.outcome = outcome;
+    reply.response.body = calls_.TargetOf(call);
+    node_.Reply(call, reply);
+  }
+
+ private:
+  const std::string address_ = ClosedAddress();
+  Calls calls_;
+  PeerNode node_{address_, calls_};
+};
+
+PeerFailure FailureOf(const PeerNode::Result& result) {
+  REQUIRE(std::holds_alternative<PeerFailure>(result));
+  return std::get<PeerFailure>(result);
+}
+
+std::string BodyOf(const PeerNode::Result& result) {
+  REQUIRE(std::holds_alternative<PeerReply>(result));
+  return std::get<RunReply>(std::get<PeerReply>(result)).response.body;
+}
+
+}  // namespace
+
+TEST_CASE("replies out of order each belong to their own call") {
+  Node entry;
+  Node owner;
+  entry.node().Ask(1, owner.address(), MakeRun("/1"), kTimeout);
+  owner.calls().WaitForAsked(0);
+  entry.node().Ask(2, owner.address(), MakeRun("/2"), kTimeout);
+  owner.Reply(1);
+  CHECK(BodyOf(entry.calls().WaitForResult(2)) == "/2");
+  owner.Reply(0);
+  CHECK(BodyOf(entry.calls().WaitForResult(1)) == "/1");
+}
+
+TEST_CASE("a peer that does not listen proves that nothing was sent") {
+  Node entry;
+  entry.node().Ask(1, ClosedAddress(), MakeRun("/1"), kTimeout);
+  CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kNotSent);
+}
+
+TEST_CASE("a peer that takes the bytes may have taken the request") {
+  Node entry;
+  SECTION("frozen: it reads nothing") {
+    RawServer peer([](RawSocket&, int) {
+      std::this_thread::sleep_for(milliseconds(400));
+    });
+    entry.node().Ask(1, peer.address(), MakeRun("/1"), milliseconds(100));
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+  }
+  SECTION("it resets the connection after the request") {
+    RawServer peer([](RawSocket& socket, int) {
+      socket.ReadUntil(kMarker);
+      socket.Reset();
+    });
+    entry.node().Ask(1, peer.address(), MakeRun("/1"), kTimeout);
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+  }
+  SECTION("it answers with garbage") {
+    RawServer peer([](RawSocket& socket, int) {
+      socket.ReadUntil(kMarker);
+      socket.Send(std::string(1000, 'g'));
+    });
+    entry.node().Ask(1, peer.address(), MakeRun("/1"), kTimeout);
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+  }
+  SECTION("it has no room") {
+    Node owner;
+    owner.calls().set_full();
+    entry.node().Ask(1, owner.address(), MakeRun("/1"), kTimeout);
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+  }
+}
+
+TEST_CASE("a call that times out before its connection is open is never sent") {
+  // A listener whose backlog is full leaves the connection half open.
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const std::string address = ClosedAddress();
+  const sockaddr_in bound = *ParseAddress(address);
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&bound),
+               sizeof(bound)) == 0);
+  REQUIRE(listen(listener, 0) == 0);
+  const RawSocket filler(address);
+  Node entry;
+  entry.node().Ask(1, address, MakeRun("/1"), milliseconds(200));
+  CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kNotSent);
+  const RawSocket first(accept(listener, nullptr, nullptr));
+  pollfd waiting{listener, POLLIN, 0};
+  if (poll(&waiting, 1, 2500) > 0) {
+    RawSocket second(accept(listener, nullptr, nullptr));
+    const std::string bytes = second.ReadUntil(kMarker, milliseconds(300));
+    CHECK(bytes.find(kMarker) == std::string::npos);
+  }
+  close(listener);
+}
+
+TEST_CASE("garbage on the peer port harms nobody else") {
+  Node entry;
+  Node owner;
+  RawSocket intruder(owner.address());
+  SECTION("text") {
+    intruder.Send("GET / HTTP/1.1\r\n\r\n" + std::string(500, 'x'));
+  }
+  SECTION("a message that claims to be huge") {
+    intruder.Send(std::string("\0\0\0\0\xff\xff\xff\x7f", 8));
+  }
+  SECTION("many segments") {
+    intruder.Send(std::string("\xff\xff\xff\xff\xff\xff\xff\xff", 8));
+  }
+  SECTION("half of a message") {
+    intruder.Send(std::string("\0\0\0\0\x04\0\0\0half", 12));
+    intruder.Reset();
+  }
+  entry.node().Ask(1, owner.address(), MakeRun("/1"), kTimeout);
+  owner.Reply(0);
+  CHECK(BodyOf(entry.calls().WaitForResult(1)) == "/1");
+}
+
+TEST_CASE("values out of range never reach a decision") {
+  Node entry;
+  Node owner;
+  constexpr auto kNoOutcome = static_cast<Outcome>(99);
+  SECTION("in a reply") {
+    entry.node().Ask(1, owner.address(), MakeRun("/1"), kTimeout);
+    owner.Reply(0, kNoOutcome);
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+    CHECK(entry.calls().malformed() == 1);
+  }
+  SECTION("in a request") {
+    SettleNotice notice;
+    notice.outcome = kNoOutcome;
+    entry.node().Ask(1, owner.address(), notice, kTimeout);
+    CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+    CHECK(owner.calls().malformed() == 1);
+  }
+  entry.node().Ask(2, owner.address(), MakeRun("/2"), kTimeout);
+  owner.Reply(owner.calls().malformed() == 1 ? 0 : 1);
+  CHECK(BodyOf(entry.calls().WaitForResult(2)) == "/2");
+}
+
+TEST_CASE("a node stops with calls open both ways") {
+  Node entry;
+  auto owner = std::make_unique<Node>();
+  entry.node().Ask(1, owner->address(), MakeRun("/1"), kTimeout);
+  const PeerNode::CallId call = owner->calls().WaitForAsked(0);
+  owner->node().Stop();
+  CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kLost);
+  owner->node().Reply(call, RunReply{});
+}
+
+}  // namespace vanillafall
--- /dev/null
+++ b/packages/transport/raw_socket_test.h
@@ -0,0 +1,172 @@
+#ifndef TRANSPORT_RAW_SOCKET_TEST_H_
+#define TRANSPORT_RAW_SOCKET_TEST_H_
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "transport/address.h"
+
+namespace vanillafall {
+
+// One side of a TCP connection that a test speaks byte by byte.
+class RawSocket {
+ public:
+  explicit RawSocket(int fd) : fd_(fd) {}
+  // Connects; is_open is false when that was refused.
+  explicit RawSocket(const std::string& address)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in target = *ParseAddress(address);
+    is_open_ = connect(fd_, reinterpret_cast<const sockaddr*>(&target),
+                       sizeof(target)) == 0;
+  }
+  ~RawSocket() { Close(); }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+
+  bool is_open() const { return is_open_; }
+
+  bool Send(const std::string& bytes) {
+    return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(bytes.size());
+  }
+
+  // Reads until the text has come, the other side ends or time is over.
+  std::string ReadUntil(
+      const std::string& text,
+      std::chrono::milliseconds time = std::chrono::milliseconds(1500)) {
+    const auto until = std::chrono::steady_clock::now() + time;
+    while (read_.find(text) == std::string::npos) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+          until - std::chrono::steady_clock::now());
+      pollfd waiting{fd_, POLLIN, 0};
+      if (left.count() <= 0 ||
+          poll(&waiting, 1, static_cast<int>(left.count())) <= 0) {
+        break;
+      }
+      std::array<char, 4096> piece{};
+      const ssize_t count = recv(fd_, piece.data(), piece.size(), 0);
+      if (count <= 0) {
+        is_open_ = false;
+        break;
+      }
+      read_.append(piece.data(), static_cast<std::size_t>(count));
+    }
+    const std::size_t at = read_.find(text);
+    const std::size_t end =
+        at == std::string::npos ? read_.size() : at + text.size();
+    std::string result = read_.substr(0, end);
+    read_.erase(0, end);
+    return result;
+  }
+
+  void Reset() {
+    const linger none{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    Close();
+  }
+  void Close() {
+    if (fd_ >= 0) {
+      close(fd_);
+    }
+    fd_ = -1;
+    is_open_ = false;
+  }
+
+ private:
+  int fd_;
+  bool is_open_ = true;
+  std::string read_;
+};
+
+// Listens on a free port of loopback and runs a script on each connection, on a
+// thread of its own. Connections are numbered from 1.
+class RawServer {
+ public:
+  using Script = std::function<void(RawSocket&, int connection)>;
+
+  explicit RawServer(Script script)
+      : script_(std::move(script)), fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in any = *ParseAddress("127.0.0.1:1");
+    any.sin_port = 0;
+    const bool is_bound =
+        bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0;
+    if (!is_bound || listen(fd_, 64) != 0) {
+      throw std::system_error(errno, std::generic_category(), "listen");
+    }
+    socklen_t size = sizeof(any);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&any), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+    accepting_ = std::thread([this] { Accept(); });
+  }
+  ~RawServer() {
+    shutdown(fd_, SHUT_RDWR);
+    accepting_.join();
+    for (std::thread& each : scripts_) {
+      each.join();
+    }
+    close(fd_);
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  const std::string& address() const { return address_; }
+  int connections() const { return connections_; }
+
+ private:
+  void Accept() {
+    while (true) {
+      const int fd = accept(fd_, nullptr, nullptr);
+      if (fd < 0) {
+        return;
+      }
+      const int number = ++connections_;
+      scripts_.emplace_back([this, fd, number] {
+        RawSocket socket(fd);
+        script_(socket, number);
+      });
+    }
+  }
+
+  const Script script_;
+  const int fd_;
+  std::string address_;
+  std::atomic<int> connections_{0};
+  std::thread accepting_;
+  std::vector<std::thread> scripts_;
+};
+
+// An address of loopback where nothing listens.
+inline std::string ClosedAddress() {
+  const RawServer server([](RawSocket&, int) {});
+  return server.address();
+}
+
+// Waits for a condition that another thread brings about.
+inline bool Eventually(
+    const std::function<bool()>& condition,
+    std::chrono::milliseconds time = std::chrono::milliseconds(5000)) {
+  const auto until = std::chrono::steady_clock::now() + time;
+  while (std::chrono::steady_clock::now() < until) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return condition();
+}
+
+}  // namespace vanillafall
+
+#endif  // TRANSPORT_RAW_SOCKET_TEST_H_
--- a/packages/transport/transport.h
+++ b/packages/transport/transport.h
@@ -5,6 +5,7 @@
 //   address.h         parsing of "host:port"
 //   wake_fd.h         wakes a thread that waits for file descriptors
 //   caller_server.h   HTTP requests of callers (accept thread)
+//   open_sockets.h    which socket a client library is about to use
 //   backend_client.h  HTTP calls to backend servers (backend thread)
 //   peer_node.h       calls between daemons (peers thread)
 //   platform_client.h reads and watches of the platform (platform thread)
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -12,17 +12,23 @@
 SECONDS_TO_RUN="${2:-15}"
 PORTS="${PROVE_PORTS:-19000}"
 RATE="${PROVE_RATE:-300}"
-# Longer than the longest pause of a daemon: a resend that waits in a paused
-# daemon still meets the memory of its key.
-RESEND_WINDOW="${PROVE_RESEND_WINDOW:-8s}"
-MOST_FREEZE_MS=5000
+# Longest pause of a daemon, and longest time for which the network holds bytes.
+MOST_PAUSE_MS="${PROVE_PAUSE_MS:-1500}"
+REQUEST_TIMEOUT_MS=1000
+RESEND_MS=1500
+# A resend may wait for all of these on its way and must still meet the memory
+# of its key: the caller's time for resends, a paused entry, a held connection,
+# a paused owner, and the request's timeout in the entry and in the owner. A
+# shorter window breaks the promise; PROVE_RESEND_WINDOW=1s shows it.
+NEEDED_MS=$((RESEND_MS + 3 * MOST_PAUSE_MS + 2 * REQUEST_TIMEOUT_MS))
+RESEND_WINDOW="${PROVE_RESEND_WINDOW:-$(((NEEDED_MS + 999) / 1000))s}"
 source "$(dirname "$0")/lib.sh"
 WORK="${PROVE_KEEP:-$(mktemp -d)}"
 mkdir -p "$WORK"
 rm -rf "$WORK"/documents "$WORK"/files "$WORK"/history-* "$WORK"/daemon-*
 SERVICE_FILES="$WORK/files"
 RELAYED=yes
-MORE_LIMITS=$'drain_timeout = "4s"\nrequest_timeout = "2s"'
+MORE_LIMITS=$'drain_timeout = "4s"\nrequest_timeout = "1s"'
 BACKEND_FLAGS=(--crash-on poison)
 source "$(dirname "$0")/fleet.sh"
 [ -x "$BUILD/tools/vf_load" ] || { install_packages && build; } || exit 1
@@ -52,6 +58,8 @@
 
 # ---- the schedule ----
 SCHEDULE=()
+# When the next failure of a daemon may begin, so that pauses don't add up.
+declare -A FREE_AT
 at() { SCHEDULE+=("$(printf '%06d' "$1") ${*:2}"); }
 draw() { DRAWN=$(($1 + RANDOM % ($2 - $1 + 1))); }
 pick() {
@@ -66,12 +74,14 @@
   pick "${BACKENDS[@]}" && backend=$PICKED
   draw 300 2500 && until=$((begin + DRAWN))
   [ "$until" -lt "$LAST_END" ] || until=$LAST_END
+  [ "$begin" -ge "${FREE_AT[$daemon]:-0}" ] || return 0
   case $((RANDOM % 16)) in
     0 | 1) at "$begin" kill_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
     2) at "$begin" term_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
     3 | 4 | 5)
-      draw 200 $MOST_FREEZE_MS && until=$((begin + DRAWN))
+      draw 200 "$MOST_PAUSE_MS" && until=$((begin + DRAWN))
       [ "$until" -lt "$LAST_END" ] || until=$LAST_END
+      FREE_AT[$daemon]=$((until + 500))
       at "$begin" freeze_daemon "$daemon" && at "$until" wake_daemon "$daemon"
       ;;
     6 | 7) at "$begin" kill_backend "$backend" && at "$until" revive_backend "$backend" ;;
@@ -82,6 +92,8 @@
         at "$until" mode_backend "$backend" work_ms=3
       ;;
     10 | 11 | 12)
+      [ "$until" -lt $((begin + MOST_PAUSE_MS)) ] || until=$((begin + MOST_PAUSE_MS))
+      FREE_AT[$daemon]=$((until + 500))
       pick hold=in hold=out hold=both delay_ms=60 "hold=in&share=50" "hold=out&share=50"
       at "$begin" mode_relay "$daemon" "$PICKED" && at "$until" mode_relay "$daemon" reset=0
       ;;
@@ -204,7 +216,7 @@
   BACKEND_ADDRESS[$name]=$address
 done < <(list_backends)
 plan
-echo "== seed $SEED, $SECONDS_TO_RUN s, $RATE requests/s, schedule (ms, action):"
+echo "== seed $SEED, $SECONDS_TO_RUN s, $RATE requests/s, pauses to $MOST_PAUSE_MS ms, resend window $RESEND_WINDOW, schedule (ms, action):"
 printf '   %s\n' "${SCHEDULE[@]}"
 start_fleet || exit 1
 sleep "${RESEND_WINDOW%s}" # a guard abstains for the resend window after its start
@@ -214,7 +226,7 @@
   CALLERS+=("$(caller_of "$i")")
 done
 "$BUILD/tools/vf_load" --seed "$SEED" --ms $((SECONDS_TO_RUN * 1000)) \
-  --rate "$RATE" --poison-permille 3 --settle-ms 3000 --history "$WORK" \
+  --resend-ms $RESEND_MS --rate "$RATE" --poison-permille 3 --settle-ms 3000 --history "$WORK" \
   --out "$WORK/callers.jsonl" "${CALLERS[@]}" >"$WORK/figures" 2>"$WORK/evidence" &
 LOAD=$!
 run_schedule
