--- a/packages/daemon/operator_server.cc
+++ b/packages/daemon/operator_server.cc
@@ -69,7 +69,7 @@
       &Impl::OnAccess, this, MHD_OPTION_SOCK_ADDR,
       reinterpret_cast<const sockaddr*>(&*address), MHD_OPTION_CONNECTION_LIMIT,
       kMostConnections, MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_END);
   if (daemon_ == nullptr) {
     return Error{std::error_code(errno, std::generic_category()), Step::kListen,
                  address_, "operators' port"};
--- a/packages/transport/caller_server.cc
+++ b/packages/transport/caller_server.cc
@@ -165,7 +165,7 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       static_cast<std::size_t>(options_.max_header_bytes) * 2,
       MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idle.count()),
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_END);
   if (daemon_ == nullptr) {
     return Error{std::error_code(errno, std::generic_category()), Step::kListen,
                  options_.address, "callers' port"};
--- a/packages/transport/caller_server_test.cc
+++ b/packages/transport/caller_server_test.cc
@@ -189,6 +189,16 @@
   CHECK(Eventually([&] { return fixture.server().open_count() == 0; }));
 }
 
+TEST_CASE("a port that another process serves is not shared") {
+  const Fixture fixture;
+  const SystemClock clock;
+  Requests requests;
+  CallerServer second({fixture.address(), kMostHeaderBytes, kMostBodyBytes, 100,
+                       milliseconds(1000)},
+                      clock, requests);
+  CHECK(second.Start().has_value());
+}
+
 TEST_CASE("a drain answers open requests and takes no new connection") {
   Fixture fixture;
   RawSocket caller(fixture.address());
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -22,6 +22,8 @@
 # shorter window breaks the promise; PROVE_RESEND_WINDOW=1s shows it.
 NEEDED_MS=$((RESEND_MS + 3 * MOST_PAUSE_MS + 2 * REQUEST_TIMEOUT_MS))
 RESEND_WINDOW="${PROVE_RESEND_WINDOW:-$(((NEEDED_MS + 999) / 1000))s}"
+# lib.sh takes the arguments that are left as names of packages.
+set --
 source "$(dirname "$0")/lib.sh"
 WORK="${PROVE_KEEP:-$(mktemp -d)}"
 mkdir -p "$WORK"
--- /dev/null
+++ b/scripts/sanitize.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Builds the unit tests with sanitizers and runs them, each kind in a build
+# directory of its own.
+#
+#   scripts/sanitize.sh [address,undefined|thread]...
+#
+# Without arguments it does both. Exit code 0 only if every test passed and no
+# sanitizer reported anything. KNOWN-RED.txt counts here as in test.sh.
+set -uo pipefail
+KINDS=("$@")
+[ "$#" -eq 0 ] && KINDS=(address,undefined thread)
+set --
+source "$(dirname "$0")/lib.sh"
+JOBS="${SANITIZE_JOBS:-4}"
+export ASAN_OPTIONS=detect_leaks=1
+export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
+export TSAN_OPTIONS=halt_on_error=0:second_deadlock_stack=1
+install_packages
+RED=$(sed -n '/^[^#]/s/;.*//p' "$ROOT/KNOWN-RED.txt" | paste -sd'|')
+CODE=0
+for kind in "${KINDS[@]}"; do
+  directory="$ROOT/build-${kind//,/-}"
+  cmake -S "$ROOT" -B "$directory" -G Ninja -DVF_SANITIZE="$kind" >/dev/null || exit 1
+  mapfile -t targets < <(ninja -C "$directory" -t targets all |
+    sed -n 's/^\([a-z_]*_test\): phony$/\1/p')
+  ninja -C "$directory" -j "$JOBS" --quiet "${targets[@]}" || exit 1
+  # The runs over real processes need the plain build.
+  ctest --test-dir "$directory" --output-on-failure -j "$JOBS" \
+    -E "^(prove_.*${RED:+|$RED})$" || CODE=1
+  echo "sanitize: $kind ended with $([ "$CODE" -eq 0 ] && echo no report || echo reports)"
+done
+exit "$CODE"
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -103,7 +103,7 @@
         reinterpret_cast<const sockaddr*>(&*parsed),
         MHD_OPTION_CONNECTION_LIMIT, kMostConnections,
         MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, nullptr,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_END);
     if (daemon_ == nullptr) {
       throw std::system_error(errno, std::generic_category(), address);
     }
