--- a/packages/decision/router.cc
+++ b/packages/decision/router.cc
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
+// What a far server costs by the last report, in parts of all its slots.
+constexpr double kFarLoad = 0.5;
 constexpr milliseconds kFirstAvoidance{200};
 constexpr std::uint32_t kMostDoublings = 5;
 // A reported load loses half of its weight in this time.
@@ -181,20 +183,34 @@
 }
 
 Router::Rule Router::RuleNamed(RoutingRule rule) {
-  static constexpr std::array<Rule, 4> kRules{
-      &Router::ChooseOfTwo, &Router::ChooseLeastLoaded,
-      &Router::ChooseNextInTurn, &Router::ChooseAny};
+  static constexpr std::array<Rule, 6> kRules{
+      &Router::ChooseOfFour,      &Router::ChooseOfTwo,
+      &Router::ChooseLeastLoaded, &Router::ChooseByLastReport,
+      &Router::ChooseNextInTurn,  &Router::ChooseAny};
   return kRules.at(static_cast<std::size_t>(rule));
 }
 
+std::optional<Router::Index> Router::ChooseOfFour(const Indexes& tried,
+                                                  Random& random,
+                                                  TimePoint now) {
+  return ChooseOfFew(4, tried, random, now);
+}
+
 std::optional<Router::Index> Router::ChooseOfTwo(const Indexes& tried,
                                                  Random& random,
                                                  TimePoint now) {
-  std::optional<Candidate> best = BetterOfTwo(near_, tried, random, now);
+  return ChooseOfFew(2, tried, random, now);
+}
+
+std::optional<Router::Index> Router::ChooseOfFew(int count,
+                                                 const Indexes& tried,
+                                                 Random& random,
+                                                 TimePoint now) {
+  std::optional<Candidate> best = BestOfFew(count, near_, tried, random, now);
   const bool is_ideal = best && best->cost.grade == Cost::Grade::kGood &&
                         best->cost.milliseconds <= 0.0;
   if (!is_ideal) {
-    const auto far = BetterOfTwo(far_, tried, random, now);
+    const auto far = BestOfFew(count, far_, tried, random, now);
     const bool is_far_better = far && (!best || far->cost < best->cost);
     best = is_far_better ? far : best;
   }
@@ -207,6 +223,25 @@
 std::optional<Router::Index> Router::ChooseLeastLoaded(const Indexes& tried,
                                                        Random& random,
                                                        TimePoint now) {
+  return ChooseCheapest(tried, random, [this, now](const Server& server) {
+    return CostOf(server, now);
+  });
+}
+
+std::optional<Router::Index> Router::ChooseByLastReport(const Indexes& tried,
+                                                        Random& random,
+                                                        TimePoint now) {
+  return ChooseCheapest(tried, random, [this, now](const Server& server) {
+    const double busy = std::max<double>(server.others, server.in_flight);
+    return Cost{GradeOf(server, now), 0,
+                busy / server.slots + (server.is_near ? 0 : kFarLoad)};
+  });
+}
+
+template <typename Pricing>
+std::optional<Router::Index> Router::ChooseCheapest(const Indexes& tried,
+                                                    Random& random,
+                                                    Pricing pricing) const {
   const Index start = DrawBelow(servers_.size(), random);
   std::optional<Candidate> best;
   for (Index step = 0; step < servers_.size(); ++step) {
@@ -214,7 +249,7 @@
     if (Contains(tried, index)) {
       continue;
     }
-    const Cost cost = CostOf(servers_[index], now);
+    const Cost cost = pricing(servers_[index]);
     if (!best || cost < best->cost) {
       best = Candidate{index, cost};
     }
@@ -248,23 +283,25 @@
   return std::nullopt;
 }
 
-std::optional<Router::Candidate> Router::BetterOfTwo(const Indexes& group,
-                                                     const Indexes& tried,
-                                                     Random& random,
-                                                     TimePoint now) const {
-  const std::optional<Index> first = Draw(group, tried, random);
-  if (!first) {
-    return std::nullopt;
-  }
+std::optional<Router::Candidate> Router::BestOfFew(int count,
+                                                   const Indexes& group,
+                                                   const Indexes& tried,
+                                                   Random& random,
+                                                   TimePoint now) const {
   Indexes excluded = tried;
-  excluded.push_back(*first);
-  const std::optional<Index> second = Draw(group, excluded, random);
-  const Candidate one{*first, CostOf(servers_[*first], now)};
-  if (!second) {
-    return one;
+  std::optional<Candidate> best;
+  for (int drawn = 0; drawn < count; ++drawn) {
+    const std::optional<Index> index = Draw(group, excluded, random);
+    if (!index) {
+      break;
+    }
+    excluded.push_back(*index);
+    const Cost cost = CostOf(servers_[*index], now);
+    if (!best || cost < best->cost) {
+      best = Candidate{*index, cost};
+    }
   }
-  const Candidate other{*second, CostOf(servers_[*second], now)};
-  return other.cost < one.cost ? other : one;
+  return best;
 }
 
 Router::Cost Router::CostOf(const Server& server, TimePoint now) const {
--- a/packages/decision/router.h
+++ b/packages/decision/router.h
@@ -19,13 +19,16 @@
 
 namespace vanillafall {
 
-// How a Router chooses. kTwoChoices is what daemons use; the others are there
+// How a Router chooses. kFourChoices is what daemons use; the others are there
 // to be measured against it.
 enum class RoutingRule : std::uint8_t {
-  // The better of two random servers near, or of two far where that is better.
+  // The best of four random servers near, or of four far where that is better.
+  kFourChoices,
   kTwoChoices,
   // The best of all.
   kLeastLoaded,
+  // The least busy of all by the last report of each, however old.
+  kLastReport,
   kRoundRobin,
   kRandom,
 };
@@ -46,7 +49,7 @@
   static constexpr std::chrono::milliseconds kFarLatency{3};
 
   explicit Router(std::string data_centre,
-                  RoutingRule rule = RoutingRule::kTwoChoices);
+                  RoutingRule rule = RoutingRule::kFourChoices);
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
 
@@ -113,12 +116,22 @@
 
   static Rule RuleNamed(RoutingRule rule);
 
+  std::optional<Index> ChooseOfFour(const Indexes& tried,
+                                    Random& random,
+                                    TimePoint now);
   std::optional<Index> ChooseOfTwo(const Indexes& tried,
                                    Random& random,
                                    TimePoint now);
+  std::optional<Index> ChooseOfFew(int count,
+                                   const Indexes& tried,
+                                   Random& random,
+                                   TimePoint now);
   std::optional<Index> ChooseLeastLoaded(const Indexes& tried,
                                          Random& random,
                                          TimePoint now);
+  std::optional<Index> ChooseByLastReport(const Indexes& tried,
+                                          Random& random,
+                                          TimePoint now);
   std::optional<Index> ChooseNextInTurn(const Indexes& tried,
                                         Random& random,
                                         TimePoint now);
@@ -126,10 +139,15 @@
                                  Random& random,
                                  TimePoint now);
 
-  std::optional<Candidate> BetterOfTwo(const Indexes& group,
-                                       const Indexes& tried,
-                                       Random& random,
-                                       TimePoint now) const;
+  std::optional<Candidate> BestOfFew(int count,
+                                     const Indexes& group,
+                                     const Indexes& tried,
+                                     Random& random,
+                                     TimePoint now) const;
+  template <typename Pricing>
+  std::optional<Index> ChooseCheapest(const Indexes& tried,
+                                      Random& random,
+                                      Pricing pricing) const;
   Cost CostOf(const Server& server, TimePoint now) const;
   Cost::Grade GradeOf(const Server& server, TimePoint now) const;
   double WaitOf(const Server& server, double busy, TimePoint now) const;
--- /dev/null
+++ b/tools/bench_load.cc
@@ -0,0 +1,554 @@
+// Measures the load decisions on a clock of its own, with fixed seeds. Prints
+// one line for each figure: name, value, unit. With --quick the runs are
+// shorter.
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "decision/admission.h"
+#include "decision/entry.h"
+#include "decision/router.h"
+
+namespace vanillafall {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+using Random = std::mt19937_64;
+
+constexpr std::uint32_t kSlots = 3;
+constexpr milliseconds kServiceTime{25};
+constexpr seconds kCallerTime{10};
+
+void Print(const std::string& name, double value, std::string_view unit) {
+  std::cout << name << ' ' << value << ' ' << unit << '\n';
+}
+
+// Steps that are due at points of a clock that only they move.
+class EventQueue {
+ public:
+  void Later(Duration delay, std::function<void()> step) {
+    steps_.emplace(now_ + delay, std::move(step));
+  }
+  void Run() {
+    while (!steps_.empty()) {
+      now_ = steps_.begin()->first;
+      const std::function<void()> step = std::move(steps_.begin()->second);
+      steps_.erase(steps_.begin());
+      step();
+    }
+  }
+  TimePoint now() const { return now_; }
+
+ private:
+  TimePoint now_;
+  std::multimap<TimePoint, std::function<void()>> steps_;
+};
+
+class Samples {
+ public:
+  void Add(Duration sample) { samples_.push_back(Milliseconds(sample)); }
+  std::size_t size() const { return samples_.size(); }
+  double Quantile(double share) {
+    if (samples_.empty()) {
+      return 0;
+    }
+    const auto rank = static_cast<std::size_t>(
+        share * static_cast<double>(samples_.size() - 1));
+    const auto nth = samples_.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(samples_.begin(), nth, samples_.end());
+    return nth->count();
+  }
+
+ private:
+  std::vector<Milliseconds> samples_;
+};
+
+Duration DrawTime(Duration mean, Random& random) {
+  const double factor = std::exponential_distribution<double>(1)(random);
+  return duration_cast<Duration>(mean * factor);
+}
+
+ServiceConfig MakeService(int server_count, int centre_count) {
+  ServiceConfig service;
+  service.name = "desk";
+  service.callers = {"*"};
+  for (int index = 0; index < server_count; ++index) {
+    const std::string name = "server-" + std::to_string(index);
+    service.backend_servers.push_back(
+        {name, name, name, "centre-" + std::to_string(index % centre_count),
+         kSlots});
+  }
+  return service;
+}
+
+struct RoutingScenario {
+  std::string name;
+  int servers = 20;
+  int entries = 10;
+  int centres = 4;
+  // Share of all slots that the offered load needs.
+  double load = 0.8;
+  // The first server takes this many times as long as the others.
+  int slowness = 1;
+  // Requests that arrive together.
+  int burst = 1;
+};
+
+// Entries that send to backend servers by one routing rule.
+class RoutingRun {
+ public:
+  RoutingRun(RoutingScenario scenario, RoutingRule rule, Duration duration)
+      : scenario_(std::move(scenario)),
+        end_(duration),
+        service_(MakeService(scenario_.servers, scenario_.centres)) {
+    for (int index = 0; index < scenario_.entries; ++index) {
+      const int centre = index % scenario_.centres;
+      routers_.push_back(
+          std::make_unique<Router>("centre-" + std::to_string(centre), rule));
+      routers_.back()->Configure(service_);
+    }
+    for (const BackendServer& server : service_.backend_servers) {
+      admissions_[server.name] =
+          std::make_unique<Admission>(server.slots, kMostWaiting);
+    }
+  }
+
+  void Run() {
+    ArriveLater();
+    queue_.Run();
+  }
+
+  Samples& waits() { return waits_; }
+  Samples& latencies() { return latencies_; }
+  double refused_share() const { return ShareOf(refused_); }
+  double far_share() const { return ShareOf(far_); }
+
+ private:
+  static constexpr std::size_t kMostWaiting = 64;
+  static constexpr milliseconds kNearDelay{0};
+  static constexpr Duration kFarDelay{std::chrono::microseconds(1500)};
+
+  struct Job {
+    std::size_t entry = 0;
+    std::string server;
+    Duration delay{0};
+    TimePoint sent;
+    TimePoint offered;
+  };
+
+  double ShareOf(std::size_t count) const {
+    return static_cast<double>(count) / static_cast<double>(sent_);
+  }
+
+  void ArriveLater() {
+    const double servers_needed = scenario_.load * scenario_.servers * kSlots;
+    const Duration gap = duration_cast<Duration>(
+        kServiceTime * scenario_.burst / servers_needed);
+    queue_.Later(DrawTime(gap, random_), [this] {
+      if (queue_.now() >= end_) {
+        return;
+      }
+      for (int count = 0; count < scenario_.burst; ++count) {
+        Send();
+      }
+      ArriveLater();
+    });
+  }
+
+  void Send() {
+    const std::size_t entry = random_() % routers_.size();
+    const BackendServer* server =
+        routers_[entry]->Choose(service_, {}, random_, queue_.now());
+    const bool is_near =
+        server->data_centre ==
+        "centre-" +
+            std::to_string(entry % static_cast<std::size_t>(scenario_.centres));
+    routers_[entry]->OnSent(server->name);
+    ++sent_;
+    far_ += is_near ? 0 : 1;
+    const Duration delay = is_near ? Duration(kNearDelay) : kFarDelay;
+    const Admission::Ticket ticket = ++last_ticket_;
+    jobs_[ticket] = {entry, server->name, delay, queue_.now(), {}};
+    queue_.Later(delay, [this, ticket] { Offer(ticket); });
+  }
+
+  void Offer(Admission::Ticket ticket) {
+    Job& job = jobs_.at(ticket);
+    job.offered = queue_.now();
+    const auto decision =
+        admissions_.at(job.server)
+            ->Offer(
+                {ticket, "tenant", queue_.now() + kCallerTime, false, "lookup"},
+                queue_.now());
+    if (decision.result == Admission::Result::kStart) {
+      Start(ticket);
+    } else if (decision.result == Admission::Result::kRefuse) {
+      ++refused_;
+      Reply(ticket, Outcome::kNotRun);
+    }
+  }
+
+  void Start(Admission::Ticket ticket) {
+    const Job& job = jobs_.at(ticket);
+    waits_.Add(queue_.now() - job.offered);
+    const bool is_slow = job.server == service_.backend_servers.front().name;
+    const int factor = is_slow ? scenario_.slowness : 1;
+    queue_.Later(DrawTime(kServiceTime * factor, random_), [this, ticket] {
+      Admission& admission = *admissions_.at(jobs_.at(ticket).server);
+      admission.Release(ticket, queue_.now());
+      while (const auto next = admission.TakeNext(queue_.now())) {
+        Start(*next);
+      }
+      Reply(ticket, Outcome::kDone);
+    });
+  }
+
+  void Reply(Admission::Ticket ticket, Outcome outcome) {
+    const auto node = jobs_.extract(ticket);
+    const Job job = node.mapped();
+    const Admission& admission = *admissions_.at(job.server);
+    RunReply reply;
+    reply.outcome = outcome;
+    reply.reason =
+        outcome == Outcome::kDone ? Reason::kOk : Reason::kOverloaded;
+    reply.load = {admission.slots(), admission.in_use(), admission.waiting(),
+                  ServingState::kInService};
+    queue_.Later(job.delay, [this, job, reply] {
+      const Duration latency = queue_.now() - job.sent;
+      routers_[job.entry]->OnReply(job.server, reply, latency, queue_.now());
+      if (reply.outcome == Outcome::kDone) {
+        latencies_.Add(latency);
+      }
+    });
+  }
+
+  const RoutingScenario scenario_;
+  const TimePoint end_;
+  const ServiceConfig service_;
+  EventQueue queue_;
+  Random random_{11};
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::map<std::string, std::unique_ptr<Admission>> admissions_;
+  std::map<Admission::Ticket, Job> jobs_;
+  Admission::Ticket last_ticket_ = 0;
+  std::size_t sent_ = 0;
+  std::size_t far_ = 0;
+  std::size_t refused_ = 0;
+  Samples waits_;
+  Samples latencies_;
+};
+
+struct NamedRule {
+  RoutingRule rule;
+  const char* name;
+};
+
+constexpr NamedRule kRules[] = {{RoutingRule::kFourChoices, "four_choices"},
+                                {RoutingRule::kTwoChoices, "two_choices"},
+                                {RoutingRule::kLeastLoaded, "least_loaded"},
+                                {RoutingRule::kLastReport, "last_report"},
+                                {RoutingRule::kRoundRobin, "round_robin"},
+                                {RoutingRule::kRandom, "random"}};
+
+void MeasureRouting(const RoutingScenario& scenario, Duration duration) {
+  for (const NamedRule& rule : kRules) {
+    RoutingRun run(scenario, rule.rule, duration);
+    run.Run();
+    const auto print = [&scenario, &rule](std::string_view figure, double value,
+                                          std::string_view unit) {
+      std::string name = "load_";
+      name.append(scenario.name).append("_").append(figure);
+      name.append("_").append(rule.name);
+      Print(name, value, unit);
+    };
+    print("wait_p99_ms", run.waits().Quantile(0.99), "ms");
+    print("latency_p50_ms", run.latencies().Quantile(0.5), "ms");
+    print("latency_p99_ms", run.latencies().Quantile(0.99), "ms");
+    print("far_share", run.far_share(), "ratio");
+    print("refused_share", run.refused_share(), "ratio");
+  }
+}
+
+// Real time of one choice; the only figure that differs between runs.
+void MeasureChoice(int count) {
+  const ServiceConfig service = MakeService(500, 7);
+  for (const NamedRule& rule : kRules) {
+    Router router("centre-0", rule.rule);
+    router.Configure(service);
+    Random random(5);
+    const auto begin = std::chrono::steady_clock::now();
+    for (int round = 0; round < count; ++round) {
+      const TimePoint now{std::chrono::microseconds(round)};
+      router.OnSent(router.Choose(service, {}, random, now)->name);
+    }
+    const std::chrono::duration<double, std::nano> spent =
+        std::chrono::steady_clock::now() - begin;
+    Print(std::string("load_choice_of_500_ns_") + rule.name,
+          spent.count() / count, "ns");
+  }
+}
+
+// One server, a tenant that floods and one that sends now and then.
+class FloodRun {
+ public:
+  // With one lane for all, the queue is first in, first out.
+  FloodRun(bool is_fair, Duration duration)
+      : is_fair_(is_fair), end_(duration) {}
+
+  void Run() {
+    ArriveLater("flood", kServiceTime / (4 * static_cast<int>(kSlots)));
+    ArriveLater("light", milliseconds(200));
+    queue_.Run();
+  }
+
+  Samples& waits() { return waits_; }
+  double refused_share() const {
+    return static_cast<double>(refused_) /
+           static_cast<double>(refused_ + waits_.size());
+  }
+
+ private:
+  void ArriveLater(const std::string& tenant, Duration gap) {
+    queue_.Later(DrawTime(gap, random_), [this, tenant, gap] {
+      if (queue_.now() < end_) {
+        Offer(tenant);
+        ArriveLater(tenant, gap);
+      }
+    });
+  }
+
+  void Offer(const std::string& tenant) {
+    const Admission::Ticket ticket = ++last_ticket_;
+    const TimePoint now = queue_.now();
+    const auto decision = admission_.Offer(
+        {ticket, is_fair_ ? tenant : "all", now + kCallerTime, false, "lookup"},
+        now);
+    if (tenant == "light") {
+      refused_ += decision.result == Admission::Result::kRefuse ? 1 : 0;
+      offered_[ticket] = now;
+    }
+    if (decision.result == Admission::Result::kStart) {
+      Start(ticket);
+    }
+  }
+
+  void Start(Admission::Ticket ticket) {
+    const auto light = offered_.find(ticket);
+    if (light != offered_.end()) {
+      waits_.Add(queue_.now() - light->second);
+    }
+    queue_.Later(DrawTime(kServiceTime, random_), [this, ticket] {
+      admission_.Release(ticket, queue_.now());
+      while (const auto next = admission_.TakeNext(queue_.now())) {
+        Start(*next);
+      }
+    });
+  }
+
+  const bool is_fair_;
+  const TimePoint end_;
+  EventQueue queue_;
+  Random random_{12};
+  Admission admission_{kSlots, 64};
+  Admission::Ticket last_ticket_ = 0;
+  std::map<Admission::Ticket, TimePoint> offered_;
+  std::size_t refused_ = 0;
+  Samples waits_;
+};
+
+void MeasureFairness(Duration duration) {
+  for (const bool is_fair : {true, false}) {
+    FloodRun run(is_fair, duration);
+    run.Run();
+    const std::string suffix = is_fair ? "_fair" : "_fifo";
+    Print("load_light_tenant_wait_p99_ms" + suffix, run.waits().Quantile(0.99),
+          "ms");
+    Print("load_light_tenant_refused_share" + suffix, run.refused_share(),
+          "ratio");
+  }
+}
+
+// One entry whose owners all answer, or are unreachable, or of which one hangs.
+class EntryRun final : private PeerCaller {
+ public:
+  enum class Fault : std::uint8_t { kOneHangs, kAllAway };
+
+  // With more classes than requests of a class suffice to learn from, a try
+  // waits for half of the caller's time.
+  EntryRun(Fault fault, int class_count, std::uint64_t seed, Duration duration)
+      : fault_(fault), end_(duration), random_(seed) {
+    auto config = std::make_shared<FleetConfig>();
+    ServiceConfig service = MakeService(6, 1);
+    for (int index = 0; index < class_count; ++index) {
+      const std::string name = "class-" + std::to_string(index);
+      service.routes.push_back({"/" + name, name, {}});
+    }
+    class_count_ = class_count;
+    config->services["desk"] = service;
+    entry_.Configure(config);
+  }
+
+  void Run() {
+    ArriveLater();
+    TickLater();
+    queue_.Run();
+  }
+
+  Samples& latencies() { return latencies_; }
+  std::size_t failed() const { return failed_; }
+  std::size_t requests() const { return arrived_.size(); }
+  std::size_t tries() const { return tries_; }
+
+ private:
+  static constexpr milliseconds kMeanGap{50};
+  static constexpr TimePoint kHangBegins{seconds(5)};
+
+  PeerCallId Ask(const PeerAddress& peer,
+                 PeerRequest /*request*/,
+                 milliseconds timeout,
+                 Actions& /*actions*/) override {
+    const PeerCallId call = ++tries_;
+    if (fault_ == Fault::kAllAway) {
+      FailLater(call, milliseconds(1), PeerFailure::kNotSent);
+    } else if (peer == "server-0" && queue_.now() >= kHangBegins) {
+      FailLater(call, timeout, PeerFailure::kLost);
+    } else {
+      queue_.Later(DrawTime(kServiceTime, random_), [this, call] {
+        RunReply reply;
+        reply.outcome = Outcome::kDone;
+        reply.reason = Reason::kOk;
+        reply.load.slots = kSlots;
+        Actions actions;
+        entry_.OnReply(call, reply, random_, queue_.now(), actions);
+        Count(actions);
+      });
+    }
+    return call;
+  }
+  void Reply(PeerCallId /*call*/,
+             PeerReply /*reply*/,
+             Actions& /*actions*/) override {}
+
+  void FailLater(PeerCallId call, Duration delay, PeerFailure failure) {
+    queue_.Later(delay, [this, call, failure] {
+      Actions actions;
+      entry_.OnFailure(call, failure, random_, queue_.now(), actions);
+      Count(actions);
+    });
+  }
+
+  void ArriveLater() {
+    queue_.Later(DrawTime(kMeanGap, random_), [this] {
+      if (queue_.now() >= end_) {
+        return;
+      }
+      arrived_.push_back(queue_.now());
+      const auto chosen = random_() % static_cast<std::size_t>(class_count_);
+      HttpRequest request;
+      request.method = "GET";
+      request.target = "/class-" + std::to_string(chosen);
+      Actions actions;
+      entry_.OnRequest({arrived_.size(), request, kCallerTime}, random_,
+                       queue_.now(), actions);
+      Count(actions);
+      ArriveLater();
+    });
+  }
+
+  void TickLater() {
+    queue_.Later(kTickPeriod, [this] {
+      Actions actions;
+      entry_.Advance(random_, queue_.now(), actions);
+      Count(actions);
+      if (queue_.now() < end_ + kCallerTime + seconds(1)) {
+        TickLater();
+      }
+    });
+  }
+
+  void Count(const Actions& actions) {
+    for (const Action& action : actions) {
+      const auto& answer = std::get<AnswerCaller>(action);
+      latencies_.Add(queue_.now() - arrived_[answer.id - 1]);
+      failed_ += answer.outcome == Outcome::kDone ? 0 : 1;
+    }
+  }
+
+  const Fault fault_;
+  const TimePoint end_;
+  int class_count_ = 1;
+  EventQueue queue_;
+  Random random_;
+  Entry entry_{"centre-0", 5000, *this};
+  std::vector<TimePoint> arrived_;
+  PeerCallId tries_ = 0;
+  std::size_t failed_ = 0;
+  Samples latencies_;
+};
+
+void MeasureOutage(Duration duration) {
+  constexpr std::uint64_t kEntryCount = 50;
+  std::size_t requests = 0;
+  std::size_t tries = 0;
+  for (std::uint64_t seed = 1; seed <= kEntryCount; ++seed) {
+    EntryRun run(EntryRun::Fault::kAllAway, 1, seed, duration);
+    run.Run();
+    requests += run.requests();
+    tries += run.tries();
+  }
+  Print("load_outage_retry_share",
+        static_cast<double>(tries - requests) / static_cast<double>(requests),
+        "ratio");
+}
+
+void MeasureHang(Duration duration) {
+  for (const bool is_learned : {true, false}) {
+    EntryRun run(EntryRun::Fault::kOneHangs, is_learned ? 1 : 1000, 13,
+                 duration);
+    run.Run();
+    const std::string suffix = is_learned ? "_learned" : "_half_of_time_left";
+    const auto requests = static_cast<double>(run.requests());
+    Print("load_hang_latency_p999_ms" + suffix, run.latencies().Quantile(0.999),
+          "ms");
+    Print("load_hang_latency_max_ms" + suffix, run.latencies().Quantile(1),
+          "ms");
+    Print("load_hang_failed_share" + suffix,
+          static_cast<double>(run.failed()) / requests, "ratio");
+    Print("load_hang_retry_share" + suffix,
+          (static_cast<double>(run.tries()) - requests) / requests, "ratio");
+  }
+}
+
+void Measure(bool is_quick) {
+  const seconds duration{is_quick ? 10 : 60};
+  MeasureRouting({"even"}, duration);
+  MeasureRouting({"entries_50", 20, 50, 4, 0.8, 1}, duration);
+  MeasureRouting({"many_entries", 20, 400, 4, 0.8, 1}, duration);
+  MeasureRouting({"one_slow", 20, 10, 4, 0.6, 10}, duration);
+  MeasureRouting({"light", 20, 10, 4, 0.4, 1}, duration);
+  MeasureRouting({"burst", 20, 50, 4, 0.6, 1, 30}, duration);
+  MeasureChoice(is_quick ? 1000 : 20'000);
+  MeasureFairness(duration);
+  MeasureOutage(duration);
+  MeasureHang(duration);
+}
+
+}  // namespace
+}  // namespace vanillafall
+
+int main(int argc, char** argv) {
+  vanillafall::Measure(argc > 1 && std::string_view(argv[1]) == "--quick");
+  return 0;
+}
