Ask for the list before watching when nothing else is known

Cause: a fleet that had lost everything while the platform was away did not know its members, so all daemons took themselves for watchers: 100 daemons made 6,871 calls in the first second of its return (test 'a fleet that has lost everything reads the platform without a rush', seen failing). Conclusion: the test passes at 1,460 calls or fewer; 28 cases pass.

--- a/packages/control/config_keeper.cc
+++ b/packages/control/config_keeper.cc
@@ -28,8 +28,8 @@
 // The first read of the platform comes within this time, so that a whole fleet
 // that starts at once does not ask at once.
 constexpr milliseconds kMostFirstReadDelay{1500};
-constexpr milliseconds kLeastColdWait{5000};
-constexpr milliseconds kMostColdWait{10'000};
+constexpr milliseconds kLeastColdWait{30'000};
+constexpr milliseconds kMostColdWait{60'000};
 
 // Assemblies.
 constexpr milliseconds kStallWithNewer{2500};
@@ -50,8 +50,11 @@
 // One empty watch in so many is followed by a whole read, in case that the
 // platform's revisions have begun anew.
 constexpr std::uint32_t kWatchesUntilWholeRead = 6;
+// Pace of a watcher's reads of documents, and of those that do not watch.
 constexpr double kReadsPerSecond = 70;
 constexpr double kMostReadBurst = 10;
+constexpr double kColdReadsPerSecond = 3;
+constexpr double kMostColdReadBurst = 2;
 constexpr milliseconds kReadTimeout{5000};
 constexpr milliseconds kLeastInstancesPeriod{240'000};
 constexpr milliseconds kMostInstancesPeriod{360'000};
@@ -108,6 +111,7 @@
     if (value) {
       TakeInstances(value->body, actions);
     }
+    OnListAnswered(is_reached, now);
     if (is_starting_ && awaits_instances_) {
       for (const PeerAddress& peer :
            membership_.Choose(kStartFanout, random_)) {
@@ -231,6 +235,26 @@
   membership_.LearnInstances(*instances);
 }
 
+void ConfigKeeper::OnListAnswered(bool is_reached, TimePoint now) {
+  is_list_open_ = false;
+  if (!is_reached) {
+    BackOff(now);
+    return;
+  }
+  if (!is_list_answered_) {
+    is_list_answered_ = true;
+    cold_read_at_ = now + Draw(kLeastColdWait, kMostColdWait);
+    next_watch_ = now;
+  }
+}
+
+void ConfigKeeper::BackOff(TimePoint now) {
+  const milliseconds most =
+      kLeastBackoff * (1U << std::min(watch_failures_, kMostBackoffDoublings));
+  next_watch_ = now + Draw(most / 2, most);
+  ++watch_failures_;
+}
+
 void ConfigKeeper::OnWatchEnded(const std::optional<PlatformValue>& value,
                                 bool is_reached,
                                 TimePoint now,
@@ -253,10 +277,7 @@
     }
     return;
   }
-  const milliseconds most =
-      kLeastBackoff * (1U << std::min(watch_failures_, kMostBackoffDoublings));
-  next_watch_ = now + Draw(most / 2, most);
-  ++watch_failures_;
+  BackOff(now);
 }
 
 void ConfigKeeper::OnVersion(const ConfigVersion& version,
@@ -648,6 +669,9 @@
     }
     read = open_reads_.erase(read);
   }
+  if (is_list_open_ && now >= list_given_up_) {
+    is_list_open_ = false;
+  }
   if (is_watch_open_ && now >= watch_given_up_) {
     is_watch_open_ = false;
   }
@@ -657,6 +681,16 @@
   if (!identity_.has_platform || is_starting_) {
     return;
   }
+  // Who knows no other daemon would take itself for a watcher; the list tells
+  // a fleet that has lost everything who is one.
+  if (version_.number == 0 && !is_list_answered_) {
+    if (!is_list_open_ && now >= next_watch_) {
+      is_list_open_ = true;
+      list_given_up_ = now + kReadTimeout;
+      actions.emplace_back(ReadPlatform{kInstancesName});
+    }
+    return;
+  }
   is_watching_ = membership_.ShouldWatch();
   if (is_watch_open_) {
     return;
--- a/packages/control/config_keeper.h
+++ b/packages/control/config_keeper.h
@@ -130,6 +130,9 @@
 
   // What platform and peers say.
   void TakeInstances(const std::string& body, ControlActions& actions);
+  void OnListAnswered(bool is_reached, TimePoint now);
+  // Puts the next call to the platform off, longer with each failure.
+  void BackOff(TimePoint now);
   void OnWatchEnded(const std::optional<PlatformValue>& value,
                     bool is_reached,
                     TimePoint now,
@@ -222,6 +225,10 @@
 
   // Platform.
   std::string instances_body_;
+  // Whether the platform has ever answered for the list, with one or without.
+  bool is_list_answered_ = false;
+  bool is_list_open_ = false;
+  TimePoint list_given_up_;
   bool is_watching_ = false;
   bool is_platform_reached_ = true;
   bool is_watch_open_ = false;
--- a/packages/control/config_keeper_test.cc
+++ b/packages/control/config_keeper_test.cc
@@ -38,6 +38,7 @@
  public:
   LoneKeeper() : maker(Size(8, 2)), keeper_(MakeIdentity()) {
     keeper_.Start(now, actions);
+    keeper_.OnPlatformValue(kInstancesName, std::nullopt, true, now, actions);
     now += seconds(3);
     Advance();
   }
@@ -392,11 +393,24 @@
   CHECK(fleet.GetAndResetMostCallsInSecond() <= 100 + 8 * 85);
 }
 
+TEST_CASE("a fleet that has lost everything reads the platform without a rush",
+          "[keeper]") {
+  KeeperFleet fleet(Size(100, 4));
+  const FakePublication first = fleet.Make(1, {}, {}, 300);
+  fleet.Publish(first);
+  fleet.SetPlatform(Mode::kDown, milliseconds(0));
+  fleet.StartAll();
+  fleet.Run(std::chrono::minutes(3));
+  fleet.GetAndResetMostCallsInSecond();
+  fleet.SetPlatform(Mode::kOk, milliseconds(0));
+  CHECK(fleet.RunUntilAll(first.version, seconds(60)) <= seconds(20));
+  // At most four watchers a data centre, and a few that are cold.
+  CHECK(fleet.GetAndResetMostCallsInSecond() <= 16 * 85 + 100);
+}
+
 TEST_CASE("a platform that answers watches with nothing is not asked at once",
           "[keeper]") {
   LoneKeeper lone;
-  lone.keeper().OnPlatformValue(kInstancesName, std::nullopt, true, lone.now,
-                                lone.actions);
   lone.Advance();
   for (int i = 0; i < 100; ++i) {
     lone.keeper().OnPlatformValue(kManifestName, std::nullopt, true, lone.now,
