--- a/tools/bench_health.cc
+++ b/tools/bench_health.cc
@@ -14,6 +14,7 @@
 #include <cmath>
 #include <cstdint>
 #include <cstdio>
+#include <ctime>
 #include <deque>
 #include <functional>
 #include <map>
@@ -554,6 +555,35 @@
   }
 }
 
+// Processor time of judging the servers of one daemon, as a share of a core.
+void ReportProcessorTime() {
+  constexpr std::size_t kServers = 11;
+  constexpr milliseconds kLength{60'000};
+  ServiceConfig config;
+  config.name = "bench";
+  for (std::size_t i = 0; i < kServers; ++i) {
+    config.backend_servers.push_back({std::to_string(i), "", "0", "", kSlots});
+  }
+  ServiceHealth health("0");
+  health.Configure(config, kStart);
+  const std::clock_t before = std::clock();
+  for (milliseconds age{0}; age < kLength; age += milliseconds(10)) {
+    const TimePoint now = kStart + age;
+    // About 28 requests a second and server, in four classes.
+    for (std::size_t i = 0; i < kServers; ++i) {
+      if ((age.count() / 10 + i) % 4 == 0) {
+        const std::string name = std::to_string(age.count() / 40 % 4);
+        health.Record(std::to_string(i), {name, milliseconds(40)}, now);
+      }
+    }
+    health.Advance(now);
+  }
+  const double spent = static_cast<double>(std::clock() - before) /
+                       static_cast<double>(CLOCKS_PER_SEC);
+  const double length = std::chrono::duration<double>(kLength).count();
+  Print("processor_11_servers", 100.0 * spent / length, "%");
+}
+
 int Main(int argc, char** argv) {
   TCLAP::CmdLine line("Compares strategies of detection and ejection.");
   TCLAP::SwitchArg quick("", "quick", "Few runs.", line);
@@ -593,6 +623,7 @@
   }
   if (only.getValue().empty() && !quick.getValue()) {
     ReportCost(first_seed.getValue());
+    ReportProcessorTime();
   }
   Print("floor_violations", static_cast<double>(floor_violations), "steps");
   return floor_violations == 0 ? 0 : 1;
