--- a/packages/control/config_keeper.cc
+++ b/packages/control/config_keeper.cc
@@ -495,8 +495,9 @@
 void ConfigKeeper::AskForDocuments(TimePoint now, ControlActions& actions) {
   const std::chrono::duration<double> passed = now - tokens_at_;
   tokens_at_ = now;
-  read_tokens_ =
-      std::min(kMostReadBurst, read_tokens_ + passed.count() * kReadsPerSecond);
+  const double rate = is_watching_ ? kReadsPerSecond : kColdReadsPerSecond;
+  const double burst = is_watching_ ? kMostReadBurst : kMostColdReadBurst;
+  read_tokens_ = std::min(burst, read_tokens_ + passed.count() * rate);
   for (const Assembly::Wanted& wanted :
        assembly_->NextWanted(kMostInFlight, now, random_)) {
     if (wanted.source != kFromPlatform) {
