Ask those first who have answered before

Change: sources that have answered go first, then those not suspected; a manifest is asked of a second source after 300 ms; a source that lets a call for a document run out is dropped.

--- a/packages/control/config_keeper.cc
+++ b/packages/control/config_keeper.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kDocumentTimeout{2000};
 // A reply that is this late will not come: the call was lost on the way out.
 constexpr milliseconds kLostCallMargin{1000};
+// A manifest that has not come by then is asked of another source as well.
+constexpr milliseconds kHedgeDelay{300};
 constexpr std::size_t kPushFanout = 4;
 constexpr std::size_t kMostInFlight = 8;
 
@@ -297,7 +299,9 @@
   if (lead.sources.size() < kMostSourcesOfLead) {
     lead.sources.insert(source);
   }
-  if (assembly_ && assembly_->version() == version) {
+  if (assembly_ && assembly_->version() == version &&
+      (source == kFromPlatform || membership_.IsReached(source) ||
+       !assembly_->HasSources())) {
     assembly_->AddSource(source);
   }
   if (leads_.size() > kMostLeads) {
@@ -381,6 +385,7 @@
     }
   } else if (call.kind == CallKind::kDocument && assembly_) {
     assembly_->OnMissed(call.document, call.peer);
+    assembly_->RemoveSource(call.peer);
   }
 }
 
@@ -461,12 +466,15 @@
     const bool is_asked =
         std::any_of(calls_.begin(), calls_.end(), [&](const auto& call) {
           return call.second.kind == CallKind::kManifest &&
-                 call.second.version == version;
+                 call.second.version == version &&
+                 call.second.given_up - now >
+                     kDocumentTimeout + kLostCallMargin - kHedgeDelay;
         });
     if (!is_asked) {
+      const std::vector<ConfigSource> sources = GetReachable(lead.sources);
       std::vector<ConfigSource> source;
-      std::sample(lead.sources.begin(), lead.sources.end(),
-                  std::back_inserter(source), 1, random_);
+      std::sample(sources.begin(), sources.end(), std::back_inserter(source), 1,
+                  random_);
       AskDocument({CallKind::kManifest, source.front(), kManifestName, version,
                    now + kDocumentTimeout + kLostCallMargin},
                   version.digest, actions);
@@ -484,7 +492,7 @@
   assembly_->Reuse(bodies_);
   assembly_->Reuse(spare_bodies_);
   spare_bodies_.clear();
-  for (const ConfigSource& source : lead.sources) {
+  for (const ConfigSource& source : GetReachable(lead.sources)) {
     assembly_->AddSource(source);
   }
   if (is_watching_ && lead.sources.empty()) {
@@ -492,6 +500,23 @@
   }
 }
 
+std::vector<ConfigSource> ConfigKeeper::GetReachable(
+    const std::set<ConfigSource>& sources) const {
+  std::vector<ConfigSource> reached;
+  std::vector<ConfigSource> others;
+  for (const ConfigSource& source : sources) {
+    if (source == kFromPlatform || membership_.IsReached(source)) {
+      reached.push_back(source);
+    } else if (!membership_.IsSuspected(source)) {
+      others.push_back(source);
+    }
+  }
+  if (!reached.empty()) {
+    return reached;
+  }
+  return others.empty() ? std::vector(sources.begin(), sources.end()) : others;
+}
+
 void ConfigKeeper::AskForDocuments(TimePoint now, ControlActions& actions) {
   const std::chrono::duration<double> passed = now - tokens_at_;
   tokens_at_ = now;
--- a/packages/control/config_keeper.h
+++ b/packages/control/config_keeper.h
@@ -167,6 +167,10 @@
   void BeginAssembly(const ConfigVersion& version,
                      const Lead& lead,
                      TimePoint now);
+  // The sources that have answered before; else those that are not suspected;
+  // else all. Who can be heard can't always be asked.
+  std::vector<ConfigSource> GetReachable(
+      const std::set<ConfigSource>& sources) const;
   void AskForDocuments(TimePoint now, ControlActions& actions);
   void CompleteAssembly(TimePoint now, ControlActions& actions);
   std::optional<FleetConfig> BuildConfig(const Assembly& assembly,
--- a/packages/control/membership.cc
+++ b/packages/control/membership.cc
@@ -197,6 +197,12 @@
   return found != members_.end() && found->second.IsSuspected();
 }
 
+bool Membership::IsReached(const PeerAddress& peer) const {
+  const auto found = members_.find(peer);
+  return found != members_.end() && found->second.is_reached &&
+         !found->second.IsSuspected();
+}
+
 bool Membership::IsKnown(const PeerAddress& peer) const {
   return members_.contains(peer);
 }
--- a/packages/control/membership.h
+++ b/packages/control/membership.h
@@ -67,6 +67,8 @@
   PeerAddress ChooseUnheardFellow(std::mt19937_64& random) const;
 
   bool IsSuspected(const PeerAddress& peer) const;
+  // It has answered in its present incarnation and is not suspected.
+  bool IsReached(const PeerAddress& peer) const;
   bool IsKnown(const PeerAddress& peer) const;
 
   struct Counts {
