Lose no request when a daemon leaves

Cause: a drain ended as soon as nothing was unfinished, with requests of other daemons still on their way, and the last replies could be cut. A connection that the other daemon had closed stayed in use, so that the next request to it was lost where it could be proved not sent. Change: a drain goes on for at least 1 s and until nothing was unfinished for 200 ms, so that the refusals tell the others.

--- a/packages/daemon/vanillafalld_main.cc
+++ b/packages/daemon/vanillafalld_main.cc
@@ -25,6 +25,12 @@
 };
 
 constexpr milliseconds kSignalPeriod{50};
+// A drain goes on at least this long: other daemons hear from the refusals that
+// this one is leaving, instead of losing the requests that are on their way.
+constexpr milliseconds kLeastDrain{1000};
+// Nothing may be unfinished for this long before the drain ends, so that the
+// last answers have left.
+constexpr milliseconds kQuietBeforeStop{200};
 
 struct Arguments {
   std::string settings_file;
@@ -98,7 +104,8 @@
   }
 }
 
-// Waits until every request is answered; false when time ran out first.
+// Waits until every request is answered and the others have heard; false when
+// time ran out with requests unanswered.
 bool Drain(const sigset_t& signals,
            milliseconds timeout,
            const Clock& clock,
@@ -106,13 +113,19 @@
   daemon.Report({LogEventId::kDaemonDrainStarted, "", ""});
   daemon.BeginDrain();
   const TimePoint until = clock.now() + timeout;
+  const TimePoint least = clock.now() + kLeastDrain;
+  TimePoint busy = clock.now();
   while (clock.now() < until) {
-    if (daemon.IsDrained()) {
+    if (!daemon.IsDrained()) {
+      busy = clock.now();
+    }
+    const bool is_quiet = clock.now() >= busy + kQuietBeforeStop;
+    if (is_quiet && clock.now() >= least) {
       return true;
     }
     ReportSignal(WaitForSignal(signals, kSignalPeriod), true, daemon);
   }
-  return false;
+  return daemon.IsDrained();
 }
 
 int Serve(const Settings& settings, const sigset_t& signals) {
--- a/packages/transport/peer_node.cc
+++ b/packages/transport/peer_node.cc
@@ -295,7 +295,7 @@
   // A weak pointer, or the connection would own itself by its own promise.
   const std::weak_ptr<Connection> weak = connection;
   return connecting.attach(kj::mv(target))
-      .then([weak](kj::Own<kj::AsyncIoStream> stream) {
+      .then([this, weak, peer](kj::Own<kj::AsyncIoStream> stream) {
         const std::shared_ptr<Connection> open = weak.lock();
         if (open == nullptr) {
           return;
@@ -303,6 +303,13 @@
         open->stream = kj::mv(stream);
         open->client = kj::heap<capnp::TwoPartyClient>(*open->stream);
         open->peer = open->client->bootstrap().castAs<wire::Peer>();
+        // A call on a connection that the peer has closed would be lost; on a
+        // new one, it is known whether it was sent.
+        tasks_->add(open->client->onDisconnect().then([this, weak, peer] {
+          if (const std::shared_ptr<Connection> ended = weak.lock()) {
+            Drop(peer, ended);
+          }
+        }));
       });
 }
 
--- a/packages/transport/peer_node_test.cc
+++ b/packages/transport/peer_node_test.cc
@@ -123,6 +123,19 @@
   CHECK(FailureOf(entry.calls().WaitForResult(1)) == PeerFailure::kNotSent);
 }
 
+TEST_CASE("a peer that has left is not asked over its old connection") {
+  Node entry;
+  auto owner = std::make_unique<Node>();
+  const PeerAddress address = owner->address();
+  entry.node().Ask(1, address, MakeRun("/1"), kTimeout);
+  owner->Reply(0);
+  entry.calls().WaitForResult(1);
+  owner->node().Stop();
+  std::this_thread::sleep_for(milliseconds(50));
+  entry.node().Ask(2, address, MakeRun("/2"), kTimeout);
+  CHECK(FailureOf(entry.calls().WaitForResult(2)) == PeerFailure::kNotSent);
+}
+
 TEST_CASE("a peer that takes the bytes may have taken the request") {
   Node entry;
   SECTION("frozen: it reads nothing") {
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -3,11 +3,16 @@
 # what callers were told against what ran.
 #
 #   scripts/prove.sh SEED [SECONDS]
+#   scripts/prove.sh --leaving SEED [SECONDS]
 #
+# With --leaving the only failures are daemons and backend servers that are told
+# to leave and come back, and every request must have an answer.
 # The seed fixes the schedule of failures and the callers' work; the schedule is
 # printed first. Exit code 0 only if no invariant was broken. With PROVE_KEEP
 # set to a directory, the histories and logs stay there.
 set -uo pipefail
+LEAVING=no
+[ "${1:-}" = --leaving ] && LEAVING=yes && shift
 SEED="${1:?seed}"
 SECONDS_TO_RUN="${2:-15}"
 PORTS="${PROVE_PORTS:-19000}"
@@ -29,7 +34,9 @@
 mkdir -p "$WORK"
 rm -rf "$WORK"/documents "$WORK"/files "$WORK"/history-* "$WORK"/daemon-*
 SERVICE_FILES="$WORK/files"
-RELAYED=yes
+# A relay takes a connection before it knows that nobody is behind it, so that a
+# request to a daemon that has left would be lost rather than not sent.
+RELAYED=$([ "$LEAVING" = yes ] && echo no || echo yes)
 MORE_LIMITS=$'drain_timeout = "4s"\nrequest_timeout = "1s"'
 BACKEND_FLAGS=(--crash-on poison)
 source "$(dirname "$0")/fleet.sh"
@@ -77,7 +84,11 @@
   draw 300 2500 && until=$((begin + DRAWN))
   [ "$until" -lt "$LAST_END" ] || until=$LAST_END
   [ "$begin" -ge "${FREE_AT[$daemon]:-0}" ] || return 0
-  case $((RANDOM % 16)) in
+  local kind=$((RANDOM % 16))
+  if [ "$LEAVING" = yes ]; then
+    pick 2 2 8 && kind=$PICKED
+  fi
+  case $kind in
     0 | 1) at "$begin" kill_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
     2) at "$begin" term_daemon "$daemon" && at "$until" revive_daemon "$daemon" ;;
     3 | 4 | 5)
@@ -146,8 +157,10 @@
       *) violation "daemon $1 ended its drain with exit code $code" ;;
     esac
   fi
-  IS_DOWN[$1]=
   start_daemon "$1"
+  # A signal that comes before the daemon handles signals would just end it.
+  wait_for 2 curl -sf -m 1 "http://$(operator_of "$1")/config"
+  IS_DOWN[$1]=
 }
 freeze_daemon() { kill -STOP "${DAEMON_PID[$1]}" 2>/dev/null; }
 wake_daemon() { kill -CONT "${DAEMON_PID[$1]}" 2>/dev/null; }
@@ -223,12 +236,14 @@
 start_fleet || exit 1
 sleep "${RESEND_WINDOW%s}" # a guard abstains for the resend window after its start
 
+LOAD_FLAGS=(--poison-permille 3)
+[ "$LEAVING" = no ] || LOAD_FLAGS=(--must-answer)
 CALLERS=()
 for i in "${DAEMONS[@]}"; do
   CALLERS+=("$(caller_of "$i")")
 done
 "$BUILD/tools/vf_load" --seed "$SEED" --ms $((SECONDS_TO_RUN * 1000)) \
-  --resend-ms $RESEND_MS --rate "$RATE" --poison-permille 3 --settle-ms 3000 --history "$WORK" \
+  "${LOAD_FLAGS[@]}" --resend-ms $RESEND_MS --rate "$RATE" --settle-ms 3000 --history "$WORK" \
   --out "$WORK/callers.jsonl" "${CALLERS[@]}" >"$WORK/figures" 2>"$WORK/evidence" &
 LOAD=$!
 run_schedule
--- a/tools/load_history.cc
+++ b/tools/load_history.cc
@@ -40,8 +40,11 @@
 class Checker {
  public:
   Checker(const std::vector<Attempt>& attempts,
-          const std::vector<Execution>& executions)
-      : attempts_(attempts), executions_(executions) {}
+          const std::vector<Execution>& executions,
+          bool must_answer)
+      : attempts_(attempts),
+        executions_(executions),
+        must_answer_(must_answer) {}
 
   Verdict Check() {
     verdict_.requests = attempts_.size();
@@ -79,8 +82,15 @@
     if (is_lookup && attempt.outcome != Outcome::kDone) {
       ++verdict_.lost_lookups;
     }
-    if (attempt.end != Attempt::End::kAnswered) {
+    if (attempt.end == Attempt::End::kNotSent) {
+      ++verdict_.not_sent;
+      return;
+    }
+    if (attempt.end == Attempt::End::kLost) {
       ++verdict_.unanswered;
+      if (must_answer_) {
+        Add("no answer", attempt);
+      }
       return;
     }
     if (!attempt.outcome) {
@@ -167,6 +177,7 @@
 
   const std::vector<Attempt>& attempts_;
   const std::vector<Execution>& executions_;
+  const bool must_answer_;
   std::map<WorkName, Work> works_;
   std::set<std::string> executed_;
   Verdict verdict_;
@@ -187,8 +198,9 @@
 }
 
 Verdict CheckHistory(const std::vector<Attempt>& attempts,
-                     const std::vector<Execution>& executions) {
-  return Checker(attempts, executions).Check();
+                     const std::vector<Execution>& executions,
+                     bool must_answer) {
+  return Checker(attempts, executions, must_answer).Check();
 }
 
 std::string ToJsonLine(const Attempt& attempt) {
--- a/tools/load_history.h
+++ b/tools/load_history.h
@@ -54,6 +54,7 @@
   std::size_t unknown = 0;
   std::size_t not_run = 0;
   std::size_t unanswered = 0;
+  std::size_t not_sent = 0;
   std::size_t lost_lookups = 0;
   // These are violations.
   std::size_t at_most_once_violations = 0;
@@ -71,9 +72,11 @@
 std::vector<Execution> ReadExecutions(std::istream& in);
 
 // Holds what callers were told against what ran. Keys must be unique to one
-// piece of work within the whole run.
+// piece of work within the whole run. With must_answer, a request that was sent
+// and got no answer is a violation too.
 Verdict CheckHistory(const std::vector<Attempt>& attempts,
-                     const std::vector<Execution>& executions);
+                     const std::vector<Execution>& executions,
+                     bool must_answer = false);
 
 // The attempt as one line of JSON.
 std::string ToJsonLine(const Attempt& attempt);
--- a/tools/load_history_test.cc
+++ b/tools/load_history_test.cc
@@ -67,6 +67,12 @@
     const Verdict verdict = CheckHistory({attempt}, {});
     CHECK(verdict.mixed_up_answers == 1);
   }
+  SECTION("a request without an answer where every one must have one") {
+    Attempt attempt = Told("r1", "k", Outcome::kUnknown);
+    attempt.end = Attempt::End::kLost;
+    CHECK(CheckHistory({attempt}, {}, true).evidence.size() == 1);
+    CHECK(CheckHistory({attempt}, {}, false).is_clean());
+  }
   SECTION("an answer that does not say its outcome") {
     Attempt attempt = Told("r1", "k", Outcome::kDone);
     attempt.outcome.reset();
--- a/tools/load_main.cc
+++ b/tools/load_main.cc
@@ -60,6 +60,8 @@
   std::size_t callers = 0;
   double rate = 0;
   std::uint64_t poison_permille = 0;
+  std::uint64_t impatient_percent = kImpatientPercent;
+  bool must_answer = false;
   milliseconds time{0};
   milliseconds timeout{0};
   milliseconds resend_time{0};
@@ -154,7 +156,7 @@
     const auto until = steady_clock::now() + options_.resend_time;
     const bool is_needless = Draw(kNeedlessResendPercent);
     for (std::size_t i = 0; i <= kMostResends; ++i) {
-      const bool is_impatient = i == 0 && Draw(kImpatientPercent);
+      const bool is_impatient = i == 0 && Draw(options_.impatient_percent);
       const bool is_done =
           Send(kind, request, key,
                is_impatient ? kImpatientTimeout : options_.timeout);
@@ -255,6 +257,10 @@
   TCLAP::ValueArg<std::uint64_t> poison(
       "", "poison-permille", "share of the work whose path has 'poison'", false,
       0, "N", line);
+  TCLAP::SwitchArg must_answer(
+      "", "must-answer",
+      "callers are patient, and a request without an answer is a violation",
+      line);
   TCLAP::ValueArg<std::string> history(
       "", "history", "directory of the backend servers' history-* files", false,
       "", "DIR", line);
@@ -269,6 +275,10 @@
   options.callers = callers.getValue();
   options.rate = rate.getValue();
   options.poison_permille = poison.getValue();
+  options.must_answer = must_answer.getValue();
+  if (options.must_answer) {
+    options.impatient_percent = 0;
+  }
   options.time = milliseconds(time.getValue());
   options.timeout = milliseconds(timeout.getValue());
   options.resend_time = milliseconds(resend.getValue());
@@ -357,6 +367,7 @@
   print("unknown_count", verdict.unknown);
   print("not_run_count", verdict.not_run);
   print("lost_answers", verdict.unanswered);
+  print("not_sent", verdict.not_sent);
   print("lost_lookups", verdict.lost_lookups);
   print("at_most_once_violations", verdict.at_most_once_violations);
   print("not_run_lies", verdict.not_run_lies);
@@ -372,7 +383,8 @@
   // Work that is still under way must be in the history before the check.
   std::this_thread::sleep_for(options.settle);
   const Verdict verdict =
-      CheckHistory(attempts, ReadAllExecutions(options.history_directory));
+      CheckHistory(attempts, ReadAllExecutions(options.history_directory),
+                   options.must_answer);
   WriteHistory(options.out, attempts);
   PrintVerdict(verdict, options);
   PrintLatency(attempts);
