Wire health and keys into explain, index routes, and answer what waits for an ejected server

Cause: requests that waited for a server that was ejected kept waiting until their deadline; a lease request for any service name took memory; a route with no list of non-idempotent methods treated POST as idempotent.

Change: waiting requests are refused as ejected at once; unknown services get no record; POST and PATCH are non-idempotent unless the route says otherwise; the entry finds routes by the index; explain shows a server's evidence and leases, a tenant's services, and what a guard remembers of a key.

--- a/packages/config/service_file.cc
+++ b/packages/config/service_file.cc
@@ -30,6 +30,10 @@
   route.request_class = reader.GetString("class", Need::kRequired);
   route.non_idempotent_methods =
       reader.GetStrings("non_idempotent", Need::kOptional);
+  if (!table.contains("non_idempotent")) {
+    // What HTTP itself does not call idempotent; an empty list says otherwise.
+    route.non_idempotent_methods = {"POST", "PATCH"};
+  }
   reader.RefuseUnknownKeys();
   return route;
 }
--- a/packages/daemon/operator_pages.cc
+++ b/packages/daemon/operator_pages.cc
@@ -24,6 +24,56 @@
       {"waiting", status.load.waiting}};
 }
 
+json ToJson(const HealthExplanation& health) {
+  return {{"evidence", health.evidence},
+          {"samples", health.samples},
+          {"failure_ratio", health.failure_ratio},
+          {"usable_slots", health.slot_limit},
+          {"leases_held", health.leases_held},
+          {"leases_needed", health.leases_needed},
+          {"granted_for_ms", health.granted_for.count()},
+          {"held_for_ms", health.held_for.count()},
+          {"blocked_by", health.blocked_by}};
+}
+
+json ToJson(const ExecutionGuard::Grant& grant) {
+  const char* ended = grant.settled ? ToString(*grant.settled) : "not told";
+  return {{"owner", grant.owner},
+          {"incarnation", grant.attempt.incarnation},
+          {"sequence", grant.attempt.sequence},
+          {"outcome", ended}};
+}
+
+// Subjects that are no names of their own: "tenant/NAME" and
+// "key/SERVICE/TENANT/KEY".
+constexpr std::string_view kTenantSubject = "tenant/";
+constexpr std::string_view kKeySubject = "key/";
+
+json ServicesOfTenant(const FleetConfig& config, std::string_view tenant) {
+  json services = json::array();
+  for (const auto& [name, service] : config.services) {
+    if (service.Admits(tenant)) {
+      services.push_back({{"service", name}});
+    }
+  }
+  return services;
+}
+
+json ExplainKey(const Engine& engine, std::string_view subject) {
+  const std::size_t service_end = subject.find('/');
+  const std::size_t tenant_end = subject.find('/', service_end + 1);
+  if (service_end == std::string_view::npos ||
+      tenant_end == std::string_view::npos) {
+    return "write key/SERVICE/TENANT/KEY";
+  }
+  const std::string_view tenant =
+      subject.substr(service_end + 1, tenant_end - service_end - 1);
+  const Hash128 key = HashParts(
+      {subject.substr(0, service_end), tenant, subject.substr(tenant_end + 1)});
+  const std::optional<ExecutionGuard::Grant> grant = engine.FindKey(key);
+  return grant ? ToJson(*grant) : json("not granted by this daemon");
+}
+
 json ToJson(const ServiceConfig& service) {
   json servers = json::array();
   for (const BackendServer& server : service.backend_servers) {
@@ -62,25 +112,39 @@
                                      TimePoint now) {
   json found = json::array();
   for (const BackendServerStatus& status : engine.GetStatus(now)) {
-    if (status.name == subject || status.service == subject) {
-      found.push_back(ToJson(status));
+    if (status.name != subject && status.service != subject) {
+      continue;
+    }
+    json server = ToJson(status);
+    if (status.health) {
+      server.update(ToJson(*status.health));
     }
+    found.push_back(std::move(server));
   }
   json page = {{"subject", subject},
                {"manifest_number", engine.manifest_number()},
                {"backend_servers_here", found}};
-  if (engine.config() != nullptr) {
-    const FleetConfig::Match match = engine.config()->FindRoute(subject);
-    const ServiceConfig* service = engine.config()->FindService(subject);
-    if (match.route != nullptr) {
-      page["route"] = {{"service", match.service->name},
-                       {"class", match.route->request_class},
-                       {"prefix", match.route->prefix}};
-      service = match.service;
-    }
-    if (service != nullptr) {
-      page["service"] = ToJson(*service);
-    }
+  const std::string_view text = subject;
+  if (text.starts_with(kKeySubject)) {
+    page["key"] = ExplainKey(engine, text.substr(kKeySubject.size()));
+  }
+  if (engine.config() == nullptr) {
+    return JsonPage(page);
+  }
+  if (text.starts_with(kTenantSubject)) {
+    page["may_call"] =
+        ServicesOfTenant(*engine.config(), text.substr(kTenantSubject.size()));
+  }
+  const FleetConfig::Match match = engine.config()->FindRoute(subject);
+  const ServiceConfig* service = engine.config()->FindService(subject);
+  if (match.route != nullptr) {
+    page["route"] = {{"service", match.service->name},
+                     {"class", match.route->request_class},
+                     {"prefix", match.route->prefix}};
+    service = match.service;
+  }
+  if (service != nullptr) {
+    page["service"] = ToJson(*service);
   }
   return JsonPage(page);
 }
--- a/packages/decision/decision.h
+++ b/packages/decision/decision.h
@@ -8,6 +8,7 @@
 //   engine.h           one daemon's decisions as a whole
 //   entry.h            requests of callers: choice of backend server, retries
 //   owner.h            backend servers of this instance: admission, execution
+//   route_index.h      finds the route of a request
 //   router.h           which backend server an entry prefers
 //   retry_budget.h     how many retries are allowed
 //   latency_estimate.h quantiles of recent latency
@@ -19,6 +20,10 @@
 //   key_proof.h        proof by the guards before a caller is told `not run`
 //   key_retention.h    how long keys are remembered; pauses of this process
 //   service_health.h   detection and ejection of sick backend servers
+//   server_health.h    one server's judge, ejection, probation and leases
+//   health_judge.h     how a sick server is told from a well one
+//   lease_book.h       in-service leases held and granted
+//   ejection_cell.h    the part of a large service that one ejection concerns
 //   crash_guard.h      requests that crash whoever runs them
 
 #ifndef DECISION_DECISION_H_
--- a/packages/decision/engine.h
+++ b/packages/decision/engine.h
@@ -47,6 +47,11 @@
   // Requests of callers and peers that are not yet answered.
   std::size_t unfinished_count() const;
   std::size_t key_count() const { return guard_.key_count(); }
+  // What this daemon remembers as a guard of a key; empty when it granted it to
+  // nobody.
+  std::optional<ExecutionGuard::Grant> FindKey(const Hash128& key) const {
+    return guard_.Find(key);
+  }
 
  private:
   PeerCallId Ask(const PeerAddress& peer,
--- a/packages/decision/entry.cc
+++ b/packages/decision/entry.cc
@@ -57,6 +57,7 @@
 
 void Entry::Configure(const FleetConfigPtr& config) {
   config_ = config;
+  routes_ = RouteIndex(*config);
   std::erase_if(services_, [&config](const auto& entry) {
     return config->FindService(entry.first) == nullptr;
   });
@@ -140,7 +141,7 @@
   if (config_ == nullptr) {
     return Reason::kNoConfig;
   }
-  const FleetConfig::Match match = config_->FindRoute(request.request.target);
+  const FleetConfig::Match match = routes_.Find(request.request.target);
   if (match.route == nullptr) {
     return Reason::kUnknownRoute;
   }
--- a/packages/decision/entry.h
+++ b/packages/decision/entry.h
@@ -14,6 +14,7 @@
 #include "decision/latency_estimate.h"
 #include "decision/peer_caller.h"
 #include "decision/retry_budget.h"
+#include "decision/route_index.h"
 #include "decision/router.h"
 
 namespace vanillafall {
@@ -131,6 +132,7 @@
   const std::size_t max_requests_;
   PeerCaller& peers_;
   FleetConfigPtr config_;
+  RouteIndex routes_;
   std::unordered_map<RequestId, Pending> pending_;
   // One for each pending request.
   std::set<Wake> wakes_;
--- a/packages/decision/execution_guard.cc
+++ b/packages/decision/execution_guard.cc
@@ -103,6 +103,12 @@
   Keep(notice.key, found->second, now + RetentionOf(service));
 }
 
+std::optional<ExecutionGuard::Grant> ExecutionGuard::Find(
+    const Hash128& key) const {
+  const auto found = keys_.find(key);
+  return found == keys_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void ExecutionGuard::Expire(TimePoint now) {
   while (!expiries_.empty() && expiries_.begin()->first <= now) {
     const auto found = keys_.find(expiries_.begin()->second);
--- a/packages/decision/execution_guard.h
+++ b/packages/decision/execution_guard.h
@@ -63,7 +63,8 @@
 
   std::size_t key_count() const { return keys_.size(); }
 
- private:
+  // What is remembered of a key: which attempt holds it, at which owner, how
+  // that ended if the guard was told, and until when it is kept.
   struct Grant {
     Hash128 fingerprint;
     AttemptId attempt;
@@ -71,6 +72,9 @@
     std::optional<Outcome> settled;
     TimePoint kept_until;
   };
+  std::optional<Grant> Find(const Hash128& key) const;
+
+ private:
   struct ServiceNumber {
     std::uint64_t number = 0;
     TimePoint since;
--- a/packages/decision/owner.cc
+++ b/packages/decision/owner.cc
@@ -243,7 +243,15 @@
 }
 
 LeaseReply Owner::OnLease(const LeaseRequest& request, TimePoint now) {
-  return HealthOf(request.service).Answer(request, now);
+  const auto health = health_.find(request.service);
+  if (health != health_.end()) {
+    return health->second->Answer(request, now);
+  }
+  LeaseReply refusal;
+  for (const std::string& server : request.backend_servers) {
+    refusal.grants.push_back({server, false, {}});
+  }
+  return refusal;
 }
 
 void Owner::OnCrashNotice(const CrashNotice& notice, TimePoint now) {
@@ -270,8 +278,16 @@
 std::vector<BackendServerStatus> Owner::GetStatus(TimePoint now) const {
   std::vector<BackendServerStatus> status;
   for (const auto& [id, server] : servers_) {
-    status.push_back({server.service, server.config.name, server.config.address,
-                      GetLoad(server, now)});
+    BackendServerStatus each{server.service,
+                             server.config.name,
+                             server.config.address,
+                             GetLoad(server, now),
+                             {}};
+    const auto health = health_.find(server.service);
+    if (health != health_.end()) {
+      each.health = health->second->Explain(server.config.name, now);
+    }
+    status.push_back(std::move(each));
   }
   return status;
 }
@@ -496,10 +512,18 @@
   OnDrainChanged({name, true}, now, actions);
 }
 
-void Owner::RefreshSlotLimits(TimePoint now, Actions& /*actions*/) {
+void Owner::RefreshSlotLimits(TimePoint now, Actions& actions) {
   for (auto& [id, server] : servers_) {
-    server.admission->SetSlotLimit(
-        HealthOf(server.service).SlotLimitOf(server.config.name, now));
+    const std::uint32_t limit =
+        HealthOf(server.service).SlotLimitOf(server.config.name, now);
+    server.admission->SetSlotLimit(limit);
+    if (limit != 0) {
+      continue;
+    }
+    // What waits for an ejected server is better served elsewhere.
+    for (const Ticket ticket : server.admission->TakeAllWaiting()) {
+      Finish(ticket, RefusalWith(Reason::kEjected), now, actions);
+    }
   }
 }
 
--- a/packages/decision/owner.h
+++ b/packages/decision/owner.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +25,7 @@
   std::string name;
   std::string address;
   LoadReport load;
+  std::optional<HealthExplanation> health;
 };
 
 // The backend servers of this instance. Every request to them passes here, so
