--- a/tools/bench_config.cc
+++ b/tools/bench_config.cc
@@ -161,8 +161,13 @@
                                         "COUNT", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed", false, 1, "SEED",
                                       line);
+  TCLAP::SwitchArg quick("", "quick", "40 daemons and 100 services", line);
   line.parse(argc, argv);
-  Bench({daemons.getValue(), centres.getValue(), services.getValue(),
+  constexpr std::size_t kQuickDaemons = 40;
+  constexpr std::size_t kQuickServices = 100;
+  Bench({quick.getValue() ? kQuickDaemons : daemons.getValue(),
+         centres.getValue(),
+         quick.getValue() ? kQuickServices : services.getValue(),
          seed.getValue()})
       .Run();
   return 0;
