--- a/packages/daemon/decide_thread_test.cc
+++ b/packages/daemon/decide_thread_test.cc
@@ -9,8 +9,8 @@
 namespace vanillafall {
 namespace {
 
-constexpr int kThreads = 4;
-constexpr int kRequestsPerThread = 3000;
+constexpr RequestId kThreads = 4;
+constexpr RequestId kRequestsPerThread = 3000;
 
 // Counts answers, and notes when two threads carry at once.
 class CountingCarrier final : public DecideThread::Carrier {
@@ -24,14 +24,14 @@
     is_inside_ = false;
   }
 
-  int count() const { return count_; }
+  RequestId count() const { return count_; }
   bool has_met() const { return has_met_; }
   bool has_repeated() const { return has_repeated_; }
 
  private:
   std::atomic<bool> is_inside_{false};
   std::atomic<bool> has_met_{false};
-  std::atomic<int> count_{0};
+  std::atomic<RequestId> count_{0};
   // Used by whoever carries, one at a time.
   std::set<RequestId> answered_;
   bool has_repeated_ = false;
@@ -45,11 +45,12 @@
                       carrier);
   decide.Start();
   std::vector<std::thread> threads;
-  for (int thread = 0; thread < kThreads; ++thread) {
+  threads.reserve(kThreads);
+  for (RequestId thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&decide, thread] {
-      for (int i = 0; i < kRequestsPerThread; ++i) {
+      for (RequestId i = 0; i < kRequestsPerThread; ++i) {
         CallerRequest request;
-        request.id = static_cast<RequestId>(thread * kRequestsPerThread + i);
+        request.id = thread * kRequestsPerThread + i;
         decide.PushSurely(request);
       }
     });
