Hold the one-way cut to the target's 5 s, and name the seed that takes longer

Cause: the test of a data centre that all but one can hear but not reach allowed 10 s for all seeds but one, although the target is 5 s.

Change: 5 s for every seed.

Conclusion: the bound is the target's again, and the fault is named.

--- a/packages/control/config_keeper_test.cc
+++ b/packages/control/config_keeper_test.cc
@@ -460,12 +460,15 @@
   CHECK(fleet.nodes()[5].keeper->version() == latest.version);
 }
 
-TEST_CASE("a data centre that all but one can hear but not reach", "[keeper]") {
+constexpr seconds kMostSpreadTime{5};
+constexpr std::uint64_t kRedCutSeed = 42;
+
+// Time until a change is everywhere while nothing from data centres 1 and 2
+// reaches data centre 0 but from daemon 1.
+Duration SpreadTimeAcrossCut(std::uint64_t seed) {
   KeeperFleet::Options options = Size(30, 3);
-  options.seed = GENERATE(range(1, 60));
-  CAPTURE(options.seed);
+  options.seed = seed;
   RunningFleet fleet(options);
-  // Nothing from data centres 1 and 2 reaches data centre 0 but from daemon 1.
   for (std::size_t from = 0; from < 30; ++from) {
     for (std::size_t to = 0; to < 30; to += 3) {
       if (from % 3 != 0 && from != 1) {
@@ -476,9 +479,20 @@
   fleet.Run(seconds(20));
   const FakePublication next = fleet.Make(2, fleet.first, {});
   fleet.Publish(next);
-  const Duration time = fleet.RunUntilAll(next.version, seconds(20));
-  // While the cut lasts, calls that run into it cost up to 2 s each.
-  CHECK(time <= (options.seed == 1 ? seconds(5) : seconds(10)));
+  return fleet.RunUntilAll(next.version, seconds(20));
+}
+
+TEST_CASE("a data centre that all but one can hear but not reach", "[keeper]") {
+  const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 60)));
+  CAPTURE(seed);
+  if (seed != kRedCutSeed) {
+    CHECK(SpreadTimeAcrossCut(seed) <= kMostSpreadTime);
+  }
+}
+
+// Listed in KNOWN-RED.txt.
+TEST_CASE("the same cut with the seed that takes too long", "[.red]") {
+  CHECK(SpreadTimeAcrossCut(kRedCutSeed) <= kMostSpreadTime);
 }
 
 }  // namespace
