Suspend no request while the callers' server stops

Between the resumption of suspended connections and the stop of the HTTP library another request could be suspended; the library then aborts the process. Change: from the stop on, requests are refused as not run instead of suspended; answers get up to 200 ms to leave; a request cut by the stop is answered 504 as unknown, no longer with a 503.

--- a/packages/transport/caller_server.cc
+++ b/packages/transport/caller_server.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
 #include <utility>
 
@@ -16,8 +17,14 @@
 namespace {
 
 using std::chrono::duration_cast;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// How long a stop waits for the last answers to leave: callers that read take
+// some milliseconds.
+constexpr milliseconds kFlushTime{200};
+constexpr milliseconds kFlushPeriod{2};
+
 // One request of a connection, from its first line to its last byte of answer.
 struct Exchange {
   CallerServer::RequestId id = 0;
@@ -145,6 +152,8 @@
   std::atomic<RequestId> last_id_{0};
   std::atomic<std::size_t> open_count_{0};
   std::mutex mutex_;
+  // Guarded by the mutex, as what waits is.
+  bool is_stopping_ = false;
   std::unordered_map<RequestId, Waiting> waiting_;
 };
 
@@ -188,14 +197,21 @@
     return;
   }
   {
-    // The library can't stop while connections are suspended.
+    // The library aborts when it stops with suspended connections, so from here
+    // on none is suspended any more.
     const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
     for (auto& [id, waiting] : waiting_) {
-      waiting.exchange->answer = Answer{Outcome::kUnknown, Reason::kDraining};
+      waiting.exchange->answer =
+          Answer{Outcome::kUnknown, Reason::kDeadlinePassed};
       MHD_resume_connection(waiting.connection);
     }
     waiting_.clear();
   }
+  const TimePoint until = clock_.now() + kFlushTime;
+  while (open_count_ > 0 && clock_.now() < until) {
+    std::this_thread::sleep_for(kFlushPeriod);
+  }
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
   if (is_draining_) {
@@ -323,6 +339,10 @@
   {
     // Suspended before the hand-over, because the answer may come at once.
     const std::lock_guard lock(mutex_);
+    if (is_stopping_) {
+      listener_.OnCallerRefused(Reason::kDraining);
+      return Queue(connection, Refusal(Reason::kDraining), true);
+    }
     waiting_[id] = {exchange, connection};
     MHD_suspend_connection(connection);
   }
--- a/packages/transport/caller_server_test.cc
+++ b/packages/transport/caller_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include "transport/raw_socket_test.h"
 
 namespace vanillafall {
@@ -22,8 +24,15 @@
   };
 
   bool OnCallerRequest(CallerServer::RequestId id, HttpRequest http) override {
-    const std::lock_guard lock(mutex_);
-    requests_.push_back({id, std::move(http)});
+    std::size_t index = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      index = requests_.size();
+      requests_.push_back({id, std::move(http)});
+    }
+    while (held_ == index) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
     return !is_full_;
   }
   void OnCallerRefused(Reason reason) override {
@@ -44,10 +53,16 @@
     return refusals_;
   }
   void set_full() { is_full_ = true; }
+  // The server's thread stays with the request of this index.
+  void Hold(std::size_t index) { held_ = index; }
+  void ReleaseAll() { held_ = kNone; }
 
  private:
+  static constexpr std::size_t kNone = ~std::size_t{0};
+
   std::mutex mutex_;
   std::atomic<bool> is_full_{false};
+  std::atomic<std::size_t> held_{kNone};
   std::vector<Request> requests_;
   std::vector<Reason> refusals_;
 };
@@ -216,4 +231,36 @@
   CHECK_FALSE(caller.is_open());
 }
 
+// The library aborts the process when it stops with a suspended connection.
+TEST_CASE("a request that crosses the stop does not end the process") {
+  Fixture fixture;
+  RawSocket first(fixture.address());
+  RawSocket second(fixture.address());
+  RawSocket third(fixture.address());
+  fixture.requests().Hold(0);
+  first.Send(kGet);
+  fixture.requests().WaitFor(0);
+  // Both wait in their sockets, so the server takes them in one turn: one
+  // before the stop, the other while it stops.
+  second.Send(kGet);
+  third.Send(kGet);
+  fixture.requests().Hold(1);
+  fixture.requests().WaitFor(1);
+  std::thread stopping([&fixture] { fixture.server().Stop(); });
+  // Until then the stop has resumed what it found suspended.
+  std::this_thread::sleep_for(milliseconds(50));
+  fixture.requests().ReleaseAll();
+  stopping.join();
+  // What was handed over may have run; what was not, has not.
+  for (RawSocket* caller : {&first, &second, &third}) {
+    const std::string answer = caller->ReadUntil("\n\n");
+    const bool is_unknown = Has(answer, "HTTP/1.1 504") &&
+                            Has(answer, "Vanillafall-Outcome: unknown");
+    const bool is_refused = Has(answer, "HTTP/1.1 503") &&
+                            Has(answer, "Vanillafall-Outcome: not run");
+    CHECK((is_unknown || is_refused));
+  }
+  CHECK(fixture.requests().refusals() == std::vector{Reason::kDraining});
+}
+
 }  // namespace vanillafall
