Keep what is left of a call that was given up apart from the next

Change: each connection owns all that its operations use, and lives until the last of them has ended. The same in the pool of the backend server, where a second connection of a call shared its request with an unfinished write.

--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -131,10 +131,7 @@
     : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Impl& pool, BackendCall call)
-      : pool_(pool),
-        call_(std::move(call)),
-        socket_(pool.loop_),
-        timer_(pool.loop_) {}
+      : pool_(pool), call_(std::move(call)), timer_(pool.loop_) {}
 
   void Start();
   void Cancel() { Finish(RunEnd::kUnknown, Reason::kCancelled); }
@@ -142,12 +139,26 @@
  private:
   using Parser = http::response_parser<http::string_body>;
 
+  // One connection that the call uses, and all that its operations use. When
+  // the call goes on over another one, this lives on until its last operation
+  // has ended, apart from its successor.
+  struct Attempt {
+    explicit Attempt(tcp::socket connected) : socket(std::move(connected)) {}
+    tcp::socket socket;
+    http::request<http::string_body> request;
+    beast::flat_buffer buffer;
+    std::unique_ptr<Parser> parser;
+    bool is_written = false;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
   void Connect();
   void OnConnected(error_code error);
   void SendRequest();
   void ReadAnswer();
-  void OnAnswer(error_code error);
+  void OnAnswer(const AttemptPtr& attempt, error_code error);
   void TakeAnswer();
+  void CloseSocket();
   void OnLost(Reason reason);
   void SetTimer(Duration time, void (Exchange::*on_time)());
   void OnConnectTime() {
@@ -162,14 +173,11 @@
 
   Impl& pool_;
   BackendCall call_;
-  tcp::socket socket_;
+  // The present one; null before the start.
+  AttemptPtr attempt_;
   asio::steady_timer timer_;
   TimePoint started_;
-  http::request<http::string_body> request_;
-  beast::flat_buffer buffer_;
-  std::unique_ptr<Parser> parser_;
   bool is_kept_connection_ = false;
-  bool is_written_ = false;
   bool has_arrived_ = false;
   bool is_finished_ = false;
 };
@@ -177,7 +185,7 @@
 void BackendPool::Impl::Exchange::Start() {
   started_ = pool_.clock_.now();
   if (const KeptPtr kept = pool_.TakeKept(call_.is_idempotent)) {
-    socket_ = std::move(kept->socket);
+    attempt_ = std::make_shared<Attempt>(std::move(kept->socket));
     is_kept_connection_ = true;
     SendRequest();
     return;
@@ -199,10 +207,10 @@
   is_kept_connection_ = false;
   SetTimer(std::min(kConnectTime, call_.time_left), &Exchange::OnConnectTime);
   ++pool_.opened_;
-  socket_.async_connect(pool_.endpoint_,
-                        [self = shared_from_this()](error_code error) {
-                          self->OnConnected(error);
-                        });
+  attempt_ = std::make_shared<Attempt>(tcp::socket(pool_.loop_));
+  attempt_->socket.async_connect(
+      pool_.endpoint_, [self = shared_from_this(), held = attempt_](
+                           error_code error) { self->OnConnected(error); });
 }
 
 void BackendPool::Impl::Exchange::OnConnected(error_code error) {
@@ -218,7 +226,7 @@
     return;
   }
   error_code ignored;
-  socket_.set_option(tcp::no_delay(true), ignored);
+  attempt_->socket.set_option(tcp::no_delay(true), ignored);
   SendRequest();
 }
 
@@ -232,49 +240,52 @@
   }
   HttpRequest prepared = call_.request;
   pool_.dialect_.PrepareForBackend(call_.server, left, &prepared);
-  request_ = {};
-  request_.version(kHttp11);
-  request_.method_string(prepared.method);
-  request_.target(prepared.target);
+  http::request<http::string_body>& request = attempt_->request;
+  request.version(kHttp11);
+  request.method_string(prepared.method);
+  request.target(prepared.target);
   for (const HttpHeader& header : prepared.headers) {
-    request_.insert(header.name, header.value);
+    request.insert(header.name, header.value);
   }
-  request_.body() = std::move(prepared.body);
-  request_.prepare_payload();
+  request.body() = std::move(prepared.body);
+  request.prepare_payload();
   SetTimer(left + kAnswerGrace, &Exchange::OnAnswerTime);
   http::async_write(
-      socket_, request_,
-      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+      attempt_->socket, request,
+      [attempt = attempt_](error_code error, std::size_t /*bytes*/) {
         // A failed write shows in the read as well, which may still bring an
         // answer that was sent before the whole request was read.
-        self->is_written_ = !error;
+        attempt->is_written = !error;
       });
   ReadAnswer();
 }
 
 void BackendPool::Impl::Exchange::ReadAnswer() {
-  parser_ = std::make_unique<Parser>();
-  parser_->header_limit(kMostHeaderBytes);
-  parser_->body_limit(kMostBodyBytes);
+  Attempt& attempt = *attempt_;
+  attempt.parser = std::make_unique<Parser>();
+  attempt.parser->header_limit(kMostHeaderBytes);
+  attempt.parser->body_limit(kMostBodyBytes);
   if (call_.request.method == "HEAD") {
-    parser_->skip(true);
+    attempt.parser->skip(true);
   }
-  http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        self->OnAnswer(error);
-      });
+  http::async_read(attempt.socket, attempt.buffer, *attempt.parser,
+                   [self = shared_from_this(), held = attempt_](
+                       error_code error, std::size_t /*bytes*/) {
+                     self->OnAnswer(held, error);
+                   });
 }
 
-void BackendPool::Impl::Exchange::OnAnswer(error_code error) {
-  if (is_finished_) {
+void BackendPool::Impl::Exchange::OnAnswer(const AttemptPtr& attempt,
+                                           error_code error) {
+  if (is_finished_ || attempt != attempt_) {
     return;
   }
   if (!error) {
     TakeAnswer();
     return;
   }
-  const bool is_mute = !parser_->got_some() && buffer_.size() == 0;
+  const bool is_mute =
+      !attempt->parser->got_some() && attempt->buffer.size() == 0;
   if (!is_mute) {
     has_arrived_ = true;
     Finish(RunEnd::kUnknown, Reason::kAnswerTruncated);
@@ -283,9 +294,7 @@
   // The connection was closed while it was idle. What may run twice is sent
   // once more; anything else has an unknown outcome.
   if (is_kept_connection_ && call_.is_idempotent) {
-    error_code ignored;
-    socket_.close(ignored);
-    socket_ = tcp::socket(pool_.loop_);
+    CloseSocket();
     Connect();
     return;
   }
@@ -295,8 +304,7 @@
 void BackendPool::Impl::Exchange::OnLost(Reason reason) {
   is_finished_ = true;
   timer_.cancel();
-  error_code ignored;
-  socket_.close(ignored);
+  CloseSocket();
   BackendCallEnd end;
   end.id = call_.id;
   end.end = RunEnd::kUnknown;
@@ -307,8 +315,9 @@
 }
 
 void BackendPool::Impl::Exchange::TakeAnswer() {
-  const bool keeps_open = parser_->keep_alive() && is_written_;
-  http::response<http::string_body> message = parser_->release();
+  const bool keeps_open =
+      attempt_->parser->keep_alive() && attempt_->is_written;
+  http::response<http::string_body> message = attempt_->parser->release();
   if (static_cast<int>(message.result_int()) < kFirstFinalStatus) {
     ReadAnswer();
     return;
@@ -342,13 +351,21 @@
       end.reason = Reason::kAnswerTruncated;
       break;
   }
-  const bool is_clean = end.end != RunEnd::kUnknown && buffer_.size() == 0;
+  const bool is_clean =
+      end.end != RunEnd::kUnknown && attempt_->buffer.size() == 0;
   if (keeps_open && is_clean) {
-    pool_.Keep(std::move(socket_), keep_time);
+    pool_.Keep(std::move(attempt_->socket), keep_time);
   }
   FinishWith(std::move(end));
 }
 
+void BackendPool::Impl::Exchange::CloseSocket() {
+  if (attempt_ != nullptr) {
+    error_code ignored;
+    attempt_->socket.close(ignored);
+  }
+}
+
 void BackendPool::Impl::Exchange::Finish(RunEnd end, Reason reason) {
   BackendCallEnd ended;
   ended.end = end;
@@ -363,8 +380,7 @@
   }
   is_finished_ = true;
   timer_.cancel();
-  error_code ignored;
-  socket_.close(ignored);
+  CloseSocket();
   end.id = call_.id;
   const auto self = shared_from_this();
   pool_.exchanges_.erase(call_.id);
