--- a/packages/config/config_test.cc
+++ b/packages/config/config_test.cc
@@ -1,7 +1,12 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <random>
 
 #include "config/config.h"
+#include "config/proxy_settings_file.h"
 
 namespace vanillafall {
 namespace {
@@ -237,5 +242,22 @@
   }
 }
 
+TEST_CASE("a settings file that was changed or replaced is noticed") {
+  const std::filesystem::path path =
+      std::filesystem::temp_directory_path() /
+      ("vanillafall-settings-" + std::to_string(getpid()));
+  std::ofstream(path) << "mode = \"proxy\"\n";
+  ProxySettingsFile file(path.string());
+  CHECK_FALSE(file.HasChanged());
+  std::ofstream(path, std::ios::app) << "instance = \"one\"\n";
+  CHECK(file.HasChanged());
+  // Keys are missing.
+  CHECK_FALSE(file.Read());
+  CHECK_FALSE(file.HasChanged());
+  std::filesystem::remove(path);
+  CHECK(file.HasChanged());
+  CHECK_FALSE(file.Read());
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/daemon/vanillafalld_main.cc
+++ b/packages/daemon/vanillafalld_main.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <sstream>
 
-#include "config/proxy_settings.h"
+#include "config/proxy_settings_file.h"
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 #include "platform/serve.h"
@@ -180,19 +180,6 @@
   return code;
 }
 
-// The settings in the file now; empty when they are wrong.
-std::optional<ProxySettings> ReadProxySettings(const std::string& file) {
-  const std::optional<std::string> text = ReadText(file);
-  if (!text) {
-    return std::nullopt;
-  }
-  Parsed<ProxySettings> settings = ParseProxySettings(*text, file);
-  if (!settings.ok()) {
-    return std::nullopt;
-  }
-  return std::move(settings.value);
-}
-
 int RunProxy(const Arguments& arguments, const std::string& text) {
   const std::string& file = arguments.settings_file;
   const Parsed<ProxySettings> settings = ParseProxySettings(text, file);
@@ -207,8 +194,8 @@
   StartLog(settings.value.log_format, settings.value.log_level,
            settings.value.instance);
   const SystemClock clock;
-  const ServeEnd end = ServeOnPlatform(
-      settings.value, clock, [file] { return ReadProxySettings(file); });
+  ProxySettingsFile settings_file(file);
+  const ServeEnd end = ServeOnPlatform(settings.value, clock, settings_file);
   StopLog();
   switch (end) {
     case ServeEnd::kDrained:
--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -298,7 +298,7 @@
   NoteCrash(run, end, now);
   NoteHealth(run, end, now);
   if (end.is_other_server) {
-    carrier_.RefreshServers();
+    carrier_.RefreshServers(ListDoubt::kOwnServer);
     down_until_ = now + kDownTime;
   }
   const milliseconds work = ToMilliseconds(now - run.started);
--- a/packages/dispatch/carrier_fake.h
+++ b/packages/dispatch/carrier_fake.h
@@ -37,7 +37,7 @@
     calls.push_back(std::move(call));
   }
   void CancelBackend(BackendCallId id) override { cancelled.push_back(id); }
-  void RefreshServers() override { ++refreshes; }
+  void RefreshServers(ListDoubt doubt) override { doubts.push_back(doubt); }
   void OnConfigText(const ConfigText& config) override {
     configs.push_back(config);
   }
@@ -77,7 +77,7 @@
   std::vector<ConfigText> configs;
   std::vector<LogEvent> events;
   ConfigText own_config;
-  int refreshes = 0;
+  std::vector<ListDoubt> doubts;
 };
 
 }  // namespace vanillafall
--- a/packages/dispatch/dispatch_emulator.cc
+++ b/packages/dispatch/dispatch_emulator.cc
@@ -133,7 +133,7 @@
       Arm();
     });
   }
-  void RefreshServers() override {}
+  void RefreshServers(ListDoubt /*doubt*/) override {}
   void OnConfigText(const ConfigText& /*config*/) override {}
   ConfigText GetConfigText() override { return {}; }
   void Log(LogEvent /*event*/) override {}
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -239,8 +239,8 @@
   carrier_.CancelBackend(id);
 }
 
-void Dispatcher::RefreshServers() {
-  carrier_.RefreshServers();
+void Dispatcher::RefreshServers(ListDoubt doubt) {
+  carrier_.RefreshServers(doubt);
 }
 
 void Dispatcher::OnConfigText(const ConfigText& config) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -83,7 +83,7 @@
   void ReplyTo(LinkId link, LinkMessage message) override;
   void CallBackend(BackendCall call) override;
   void CancelBackend(BackendCallId id) override;
-  void RefreshServers() override;
+  void RefreshServers(ListDoubt doubt) override;
   void OnConfigText(const ConfigText& config) override;
   ConfigText GetConfigText() override;
   void Log(LogEvent event) override;
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -318,6 +318,11 @@
   const bool was_overdue = denied->is_overdue;
   directory_.OnLoad(server, deny.load, now);
   directory_.OnDeny(server, deny.reason, now);
+  if (deny.reason == DenyReason::kLeaving ||
+      deny.reason == DenyReason::kNotOwner) {
+    // The list has changed, and there may be a successor.
+    carrier_.RefreshServers(ListDoubt::kOtherServers);
+  }
   Append(pending->trail, server + "=" + ToString(deny.reason));
   std::erase_if(pending->tries,
                 [&deny](const Try& each) { return each.id == deny.id; });
@@ -565,6 +570,7 @@
         return false;
       }
       directory_.OnNoReply(open.server, now);
+      carrier_.RefreshServers(ListDoubt::kOtherServers);
       Append(pending.trail, open.server + "=link-lost");
       has_lost_offer = has_lost_offer || !open.is_overdue;
       request_of_.erase(open.id);
--- a/packages/dispatch/server_directory.h
+++ b/packages/dispatch/server_directory.h
@@ -37,6 +37,15 @@
   friend bool operator==(const ListedServer&, const ListedServer&) = default;
 };
 
+// Why the list is in doubt.
+enum class ListDoubt : std::uint8_t {
+  // Another process than the listed one serves on this instance: nothing can
+  // be run here before the list has been read.
+  kOwnServer,
+  // Another instance takes nothing any more; others may have joined.
+  kOtherServers,
+};
+
 // All listed backend servers, and what this daemon believes of each from its
 // owner's messages. Beliefs only order the offers: the owner decides. So a
 // wrong belief costs a message, not a request.
--- a/packages/dispatch/server_roster.cc
+++ b/packages/dispatch/server_roster.cc
@@ -1,6 +1,7 @@
 #include "dispatch/server_roster.h"
 
 #include <set>
+#include <utility>
 
 namespace vanillafall {
 
@@ -22,6 +23,12 @@
     std::erase_if(servers_, [&present](const auto& entry) {
       return !present.contains(entry.first);
     });
+    return;
+  }
+  for (const auto& [id, server] : servers_) {
+    if (!present.contains(id)) {
+      missing_.try_emplace(id, 0);
+    }
   }
 }
 
@@ -37,14 +44,23 @@
   if (known == servers_.end() || known->second.revision < server.revision) {
     servers_[server.id] = server;
   }
+  const auto missing = missing_.find(server.id);
+  if (missing != missing_.end() && missing->second < server.revision) {
+    missing_.erase(missing);
+  }
 }
 
 void ServerRoster::OnRemoved(const std::string& id,
                              std::uint64_t revision,
                              TimePoint now) {
   if (!IsSettled(now)) {
+    missing_[id] = revision;
     return;
   }
+  Remove(id, revision);
+}
+
+void ServerRoster::Remove(const std::string& id, std::uint64_t revision) {
   servers_.erase(id);
   if (removed_.size() >= kMostRemoved) {
     removed_.erase(removed_.begin());
@@ -52,6 +68,25 @@
   removed_[id] = revision;
 }
 
+void ServerRoster::Advance(TimePoint now) {
+  if (!IsSettled(now)) {
+    return;
+  }
+  for (const auto& [id, revision] : std::exchange(missing_, {})) {
+    if (revision == 0) {
+      servers_.erase(id);
+    } else {
+      Remove(id, revision);
+    }
+  }
+}
+
+std::optional<TimePoint> ServerRoster::NextWake() const {
+  return is_reached_ && !missing_.empty()
+             ? std::optional(reached_since_ + kReturnTime)
+             : std::nullopt;
+}
+
 std::vector<ListedServer> ServerRoster::servers() const {
   std::vector<ListedServer> servers;
   servers.reserve(servers_.size());
--- a/packages/dispatch/server_roster.h
+++ b/packages/dispatch/server_roster.h
@@ -15,8 +15,8 @@
 // Which backend servers are taken to be there, from lists that may be some
 // seconds old, changes of single entries, and outages of the source. What is
 // known of an entry never goes back to an older revision. Entries that are
-// missing shortly after an outage are kept: they lapsed while the source was
-// away, and those whose servers live come back.
+// missing shortly after an outage are kept for a while: they may have lapsed
+// while the source was away, and those whose servers live come back.
 class ServerRoster {
  public:
   // After an outage, missing entries are believed gone only this much later.
@@ -29,12 +29,18 @@
   void OnEntry(const ListedServer& server);
   void OnRemoved(const std::string& id, std::uint64_t revision, TimePoint now);
 
+  // Drops what is still missing once that while is over.
+  void Advance(TimePoint now);
+
+  // When Advance has something to drop.
+  std::optional<TimePoint> NextWake() const;
   std::vector<ListedServer> servers() const;
 
  private:
   // Bounds the memory of removed entries.
   static constexpr std::size_t kMostRemoved = 4096;
 
+  void Remove(const std::string& id, std::uint64_t revision);
   bool IsSettled(TimePoint now) const {
     return is_reached_ && now >= reached_since_ + kReturnTime;
   }
@@ -42,6 +48,9 @@
   bool is_reached_ = true;
   TimePoint reached_since_;
   std::map<std::string, ListedServer> servers_;
+  // Missing since shortly after an outage; and in which revision it was
+  // removed, or 0 when only a list lacks it.
+  std::map<std::string, std::uint64_t> missing_;
   // Revision at which an entry was removed.
   std::map<std::string, std::uint64_t> removed_;
 };
--- a/packages/dispatch/server_roster_test.cc
+++ b/packages/dispatch/server_roster_test.cc
@@ -49,5 +49,34 @@
   CHECK(roster.servers()[0].id == "a");
 }
 
+// An owner heard of its server's removal 0.2 s after an outage and believed it
+// with the next list only, too late.
+TEST_CASE("what is still missing then is dropped without another list",
+          "[roster]") {
+  ServerRoster roster;
+  TimePoint now(seconds(100));
+  roster.OnList({Server("a", 5), Server("b", 6), Server("c", 7)}, now);
+  CHECK_FALSE(roster.NextWake());
+  roster.OnReached(false, now);
+  now += seconds(10);
+  roster.OnReached(true, now);
+  const TimePoint settled = now + ServerRoster::kReturnTime;
+  roster.OnList({Server("a", 5), Server("c", 7)}, now);
+  now += milliseconds(200);
+  roster.OnRemoved("a", 20, now);
+  // A list from before the removal, in which another entry is back.
+  roster.OnList({Server("a", 5), Server("b", 6)}, now);
+  REQUIRE(roster.NextWake() == settled);
+  roster.Advance(now);
+  CHECK(roster.servers().size() == 3);
+  roster.Advance(settled);
+  REQUIRE(roster.servers().size() == 1);
+  CHECK(roster.servers()[0].id == "b");
+  CHECK_FALSE(roster.NextWake());
+  // Removed for good, not only missing.
+  roster.OnEntry(Server("a", 5));
+  CHECK(roster.servers().size() == 1);
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/proxy/fleet_source.h
+++ b/packages/proxy/fleet_source.h
@@ -38,7 +38,7 @@
   // Tells of changes of that server's entry at once; an empty id of none.
   virtual void WatchServer(const std::string& id) = 0;
   // The list is in doubt: read it again soon.
-  virtual void RefreshServers() = 0;
+  virtual void RefreshServers(ListDoubt doubt) = 0;
   // Reads a configuration that another daemon passed on; null when it is
   // damaged.
   virtual RouteTablePtr ReadConfig(const ConfigText& text) const = 0;
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -69,13 +69,13 @@
        const Clock& clock,
        const HttpDialect& dialect,
        FleetSource& source,
-       Reload reload)
+       ProxySettingsSource& settings_source)
       : loop_(loop),
         settings_(std::move(settings)),
         clock_(clock),
         dialect_(dialect),
         source_(source),
-        reload_(std::move(reload)),
+        settings_source_(settings_source),
         log_budget_(settings_.log_lines_per_second),
         metrics_(kMostTenants),
         dispatcher_({settings_.peer_address, settings_.data_centre,
@@ -141,7 +141,7 @@
   void ReplyTo(LinkId link, LinkMessage message) override;
   void CallBackend(BackendCall call) override;
   void CancelBackend(BackendCallId id) override;
-  void RefreshServers() override;
+  void RefreshServers(ListDoubt doubt) override;
   void OnConfigText(const ConfigText& config) override;
   ConfigText GetConfigText() override { return config_text_; }
   void Log(LogEvent event) override;
@@ -190,7 +190,7 @@
   const Clock& clock_;
   const HttpDialect& dialect_;
   FleetSource& source_;
-  const Reload reload_;
+  ProxySettingsSource& settings_source_;
   LogBudget log_budget_;
   Metrics metrics_;
   Dispatcher dispatcher_;
@@ -287,8 +287,8 @@
   backend_.Cancel(id);
 }
 
-void ProxyDaemon::Impl::RefreshServers() {
-  source_.RefreshServers();
+void ProxyDaemon::Impl::RefreshServers(ListDoubt doubt) {
+  source_.RefreshServers(doubt);
 }
 
 void ProxyDaemon::Impl::OnConfigText(const ConfigText& config) {
@@ -404,6 +404,7 @@
 
 void ProxyDaemon::Impl::UseRoster() {
   std::vector<ListedServer> servers = roster_.servers();
+  ArmWake();
   if (dispatcher_.has_servers() && servers == servers_) {
     return;
   }
@@ -478,7 +479,10 @@
 }
 
 void ProxyDaemon::Impl::ArmWake() {
-  const std::optional<TimePoint> next = dispatcher_.NextWake();
+  std::optional<TimePoint> next = dispatcher_.NextWake();
+  if (const auto settles = roster_.NextWake()) {
+    next = next ? std::min(*next, *settles) : *settles;
+  }
   if (!next || *next >= armed_for_) {
     return;
   }
@@ -489,6 +493,11 @@
       return;
     }
     armed_for_ = TimePoint::max();
+    const std::optional<TimePoint> settles = roster_.NextWake();
+    if (settles && *settles <= clock_.now()) {
+      roster_.Advance(clock_.now());
+      UseRoster();
+    }
     dispatcher_.Advance(clock_.now());
     ArmWake();
   });
@@ -515,9 +524,10 @@
 }
 
 void ProxyDaemon::Impl::ReloadSettings(const std::string& cause) {
-  const std::optional<ProxySettings> fresh = reload_();
+  const std::optional<ProxySettings> fresh = settings_source_.Read();
   if (!fresh) {
-    Log({LogEventId::kSettingsReloaded, cause, "unreadable or unchanged"});
+    Log({LogEventId::kSettingsReloaded, cause,
+         "unreadable or wrong; the former ones stay in force"});
     return;
   }
   const bool needs_restart =
@@ -541,6 +551,9 @@
   if (const std::uint64_t dropped = log_budget_.TakeDropped()) {
     WriteLog({LogEventId::kLogLinesDropped, std::to_string(dropped), ""});
   }
+  if (settings_source_.HasChanged()) {
+    ReloadSettings("the file has changed");
+  }
   housekeeping_timer_.expires_after(kHousekeepingPeriod);
   housekeeping_timer_.async_wait([this](error_code error) {
     if (!error) {
@@ -601,13 +614,13 @@
                          const Clock& clock,
                          const HttpDialect& dialect,
                          FleetSource& source,
-                         Reload reload)
+                         ProxySettingsSource& settings_source)
     : impl_(std::make_unique<Impl>(loop,
                                    std::move(settings),
                                    clock,
                                    dialect,
                                    source,
-                                   std::move(reload))) {}
+                                   settings_source)) {}
 
 ProxyDaemon::~ProxyDaemon() = default;
 
--- a/packages/proxy/proxy_daemon.h
+++ b/packages/proxy/proxy_daemon.h
@@ -2,13 +2,12 @@
 #define PROXY_PROXY_DAEMON_H_
 
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "config/proxy_settings.h"
+#include "config/proxy_settings_file.h"
 #include "proxy/fleet_source.h"
 #include "proxy/http_dialect.h"
 
@@ -22,16 +21,12 @@
 // loop, from start until a drain has ended.
 class ProxyDaemon {
  public:
-  // Reads the settings file again; empty when it is unreadable or wrong, and
-  // then the reason has been logged.
-  using Reload = std::function<std::optional<ProxySettings>()>;
-
   ProxyDaemon(boost::asio::io_context& loop,
               ProxySettings settings,
               const Clock& clock,
               const HttpDialect& dialect,
               FleetSource& source,
-              Reload reload);
+              ProxySettingsSource& settings_source);
   ~ProxyDaemon();
   ProxyDaemon(const ProxyDaemon&) = delete;
   ProxyDaemon& operator=(const ProxyDaemon&) = delete;
