Serve uploads, keep a route whose fields can't be read, and bound the memory for bodies

Chunk headers, interim answers and extra answers were read without end.

Change: a malformed field gets a safe value and a problem; answers and request bodies have a common bound derived from memory_mb, refused before they are read where the length is declared; a request's time limit counts from its first byte; a planned stop waits for requests that are being received and answers that are being sent.

--- a/packages/config/proxy_settings.cc
+++ b/packages/config/proxy_settings.cc
@@ -14,6 +14,8 @@
 constexpr char kProxyMode[] = "proxy";
 constexpr milliseconds kMinDrainTimeout{500};
 constexpr milliseconds kMaxDrainTimeout{600'000};
+constexpr std::int64_t kMinMemoryMb = 16;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000;
 constexpr std::int64_t kMaxLogLinesPerSecond = 100'000;
 
 }  // namespace
@@ -50,6 +52,8 @@
   settings.drain_timeout =
       root.GetDuration("drain_timeout", settings.drain_timeout,
                        kMinDrainTimeout, kMaxDrainTimeout);
+  settings.memory_mb = static_cast<std::uint32_t>(root.GetInteger(
+      "memory_mb", settings.memory_mb, kMinMemoryMb, kMaxMemoryMb));
   TomlReader log(root.GetTable("log"), "log", file, &parsed.problems);
   settings.log_format =
       static_cast<LogFormat>(log.GetChoice("format", {"text", "json"}));
--- a/packages/config/proxy_settings.h
+++ b/packages/config/proxy_settings.h
@@ -29,6 +29,9 @@
   std::string platform_address;
   // Longest time from SIGTERM to the end of the process.
   std::chrono::milliseconds drain_timeout{6000};
+  // Memory that the process may use. Bodies of requests and answers take a
+  // quarter of it at most.
+  std::uint32_t memory_mb = 256;
   LogFormat log_format = LogFormat::kJson;
   LogLevel log_level = LogLevel::kInfo;
   // Average number of log lines written per second; further lines are dropped
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -88,6 +88,10 @@
     Refuse(request, Reason::kUnknownRoute);
     return;
   }
+  if (route->services.empty()) {
+    Refuse(request, Reason::kNoConfig);
+    return;
+  }
   const Hash128 fingerprint =
       HashParts({route->name, request.request.method, request.host,
                  request.request.target, request.request.body});
@@ -105,8 +109,8 @@
   pending.route = route;
   pending.service = route->DrawService(random);
   pending.fingerprint = fingerprint;
-  pending.arrived = now;
-  pending.deadline = now + time_left;
+  pending.arrived = now - pending.entry_request.age;
+  pending.deadline = pending.arrived + time_left;
   BudgetOf(pending.service).OnFirstTry(now);
   Search(pending, random, now);
 }
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -27,8 +27,11 @@
   std::string host;
   // Without headers that apply to a single connection only.
   HttpRequest request;
-  // How long the caller waits; nothing when the caller did not specify it.
+  // How long the caller waits, counted from the first byte of the request;
+  // nothing when the caller did not specify it.
   std::optional<std::chrono::milliseconds> time_left;
+  // Time since the first byte of the request arrived.
+  std::chrono::milliseconds age{0};
 };
 
 // Handles the requests of this instance's callers. For each request it finds
--- a/packages/dispatch/route_table.h
+++ b/packages/dispatch/route_table.h
@@ -37,10 +37,11 @@
   std::uint32_t priority = 0;
   // Maximum number of backend servers on which one request may run.
   std::uint32_t max_attempts = 1;
-  // At least one. Requests are shared in proportion to the weights.
+  // Requests are shared in proportion to the weights. Empty when no service
+  // could be read: the route is known, but its requests are refused.
   std::vector<WeightedService> services;
 
-  // Draws the service for one request at random, by weight.
+  // Draws the service for one request at random, by weight. There must be one.
   const std::string& DrawService(std::mt19937_64& random) const;
 };
 
--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "proxy/byte_budget.h"
 #include "transport/address.h"
 
 namespace vanillafall {
@@ -34,7 +35,14 @@
 // still arrives.
 constexpr milliseconds kAnswerGrace{15};
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{64} * 1024 * 1024;
+// A chunk header, which a server could extend without end, must fit into the
+// read buffer.
+constexpr std::size_t kMaxBufferBytes = 2 * kMaxHeaderBytes;
+// Interim answers and answers to other requests that are read before the answer
+// to a request; after more of them its connection is closed.
+constexpr int kMaxSkippedAnswers = 8;
+// One answer may take this part (1 / divisor) of the memory for answers.
+constexpr std::size_t kMaxAnswerDivisor = 2;
 
 // How long an idle connection is kept when the backend server's Keep-Alive
 // header names no timeout.
@@ -85,8 +93,13 @@
        const std::string& address,
        const Clock& clock,
        const HttpDialect& dialect,
+       std::size_t answer_memory,
        Handler& handler)
-      : loop_(loop), clock_(clock), dialect_(dialect), handler_(handler) {
+      : loop_(loop),
+        clock_(clock),
+        dialect_(dialect),
+        answer_memory_(answer_memory),
+        handler_(handler) {
     if (const auto parsed = ParseAddress(address)) {
       endpoint_ =
           tcp::endpoint(asio::ip::address_v4(ntohl(parsed->sin_addr.s_addr)),
@@ -98,6 +111,9 @@
   void Cancel(BackendCallId id);
   void Stop();
   std::uint64_t opened_count() const { return opened_count_; }
+  std::size_t max_answer_bytes() const {
+    return answer_memory_.limit() / kMaxAnswerDivisor;
+  }
 
  private:
   class Exchange;
@@ -124,6 +140,8 @@
   asio::io_context& loop_;
   const Clock& clock_;
   const HttpDialect& dialect_;
+  // Bodies of answers that are being received.
+  ByteBudget answer_memory_;
   Handler& handler_;
   tcp::endpoint endpoint_;
   bool is_stopped_ = false;
@@ -138,7 +156,10 @@
     : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Impl& pool, BackendCall call)
-      : pool_(pool), call_(std::move(call)), timer_(pool.loop_) {}
+      : pool_(pool),
+        call_(std::move(call)),
+        timer_(pool.loop_),
+        body_share_(pool.answer_memory_) {}
 
   void Start();
   void Cancel() { Finish(RunEnd::kUnknown, Reason::kCancelled); }
@@ -153,7 +174,7 @@
     explicit Attempt(tcp::socket connected) : socket(std::move(connected)) {}
     tcp::socket socket;
     http::request<http::string_body> request;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMaxBufferBytes};
     std::unique_ptr<Parser> parser;
     bool is_written = false;
   };
@@ -163,8 +184,13 @@
   void OnConnected(error_code error);
   void SendRequest();
   void ReadAnswer();
-  void OnAnswer(const AttemptPtr& attempt, error_code error);
+  void ReadMore();
+  // Some bytes of the answer were read, or reading them failed.
+  void OnRead(const AttemptPtr& attempt, error_code error);
+  void OnReadError(error_code error);
   void HandleAnswer();
+  // Reads the next answer on the connection in place of the one just read.
+  void SkipAnswer();
   void CloseSocket();
   void OnConnectionLost(Reason reason);
   void SetTimer(Duration time, void (Exchange::*on_timeout)());
@@ -187,6 +213,8 @@
   bool is_reused_connection_ = false;
   bool has_arrived_ = false;
   bool is_finished_ = false;
+  int skipped_answers_ = 0;
+  ByteBudget::Share body_share_;
 };
 
 void BackendPool::Impl::Exchange::Start() {
@@ -273,31 +301,59 @@
   Attempt& attempt = *attempt_;
   attempt.parser = std::make_unique<Parser>();
   attempt.parser->header_limit(kMaxHeaderBytes);
-  attempt.parser->body_limit(kMaxBodyBytes);
+  attempt.parser->body_limit(pool_.max_answer_bytes());
   if (call_.request.method == "HEAD") {
     attempt.parser->skip(true);
   }
-  http::async_read(attempt.socket, attempt.buffer, *attempt.parser,
-                   [self = shared_from_this(), held = attempt_](
-                       error_code error, std::size_t /*bytes*/) {
-                     self->OnAnswer(held, error);
-                   });
+  ReadMore();
+}
+
+void BackendPool::Impl::Exchange::ReadMore() {
+  http::async_read_some(attempt_->socket, attempt_->buffer, *attempt_->parser,
+                        [self = shared_from_this(), held = attempt_](
+                            error_code error, std::size_t /*bytes*/) {
+                          self->OnRead(held, error);
+                        });
 }
 
-void BackendPool::Impl::Exchange::OnAnswer(const AttemptPtr& attempt,
-                                           error_code error) {
+void BackendPool::Impl::Exchange::OnRead(const AttemptPtr& attempt,
+                                         error_code error) {
   if (is_finished_ || attempt != attempt_) {
     return;
   }
-  if (!error) {
-    HandleAnswer();
+  if (error) {
+    OnReadError(error);
     return;
   }
-  const bool received_nothing =
-      !attempt->parser->got_some() && attempt->buffer.size() == 0;
-  if (!received_nothing) {
-    has_arrived_ = true;
-    Finish(RunEnd::kUnknown, Reason::kAnswerTruncated);
+  Parser& parser = *attempt_->parser;
+  // The library checks the declared length of a request against the limit, but
+  // reserves memory for any declared length of an answer.
+  const auto length = parser.content_length();
+  const bool is_too_large = (length && *length > pool_.max_answer_bytes()) ||
+                            !body_share_.TrySetSize(parser.get().body().size());
+  if (is_too_large) {
+    Finish(RunEnd::kUnknown, Reason::kAnswerTooLarge);
+    return;
+  }
+  // Set only now, so that the first read ends after the header fields.
+  parser.eager(true);
+  if (attempt_->parser->is_done()) {
+    HandleAnswer();
+  } else {
+    ReadMore();
+  }
+}
+
+void BackendPool::Impl::Exchange::OnReadError(error_code error) {
+  const bool is_too_large = error == http::error::body_limit ||
+                            error == http::error::header_limit ||
+                            error == http::error::buffer_overflow;
+  const bool received_nothing = !attempt_->parser->got_some() &&
+                                attempt_->buffer.size() == 0 &&
+                                skipped_answers_ == 0;
+  if (is_too_large || !received_nothing) {
+    Finish(RunEnd::kUnknown,
+           is_too_large ? Reason::kAnswerTooLarge : Reason::kAnswerTruncated);
     return;
   }
   // The connection was closed while it was idle. An idempotent request is sent
@@ -310,6 +366,14 @@
   OnConnectionLost(Reason::kBackendServerLost);
 }
 
+void BackendPool::Impl::Exchange::SkipAnswer() {
+  if (++skipped_answers_ > kMaxSkippedAnswers) {
+    Finish(RunEnd::kUnknown, Reason::kAnswerTooLarge);
+    return;
+  }
+  ReadAnswer();
+}
+
 void BackendPool::Impl::Exchange::OnConnectionLost(Reason reason) {
   is_finished_ = true;
   timer_.cancel();
@@ -327,7 +391,7 @@
   const bool may_reuse = attempt_->parser->keep_alive() && attempt_->is_written;
   http::response<http::string_body> message = attempt_->parser->release();
   if (static_cast<int>(message.result_int()) < kFirstFinalStatus) {
-    ReadAnswer();
+    SkipAnswer();
     return;
   }
   const milliseconds idle_timeout = IdleTimeoutOf(message);
@@ -337,7 +401,7 @@
   switch (pool_.dialect_.ClassifyAnswer(end.response, call_.request_id)) {
     case HttpDialect::AnswerKind::kOtherRequest:
       if (may_reuse) {
-        ReadAnswer();
+        SkipAnswer();
       } else {
         Finish(RunEnd::kUnknown, Reason::kAnswerTruncated);
       }
@@ -507,8 +571,14 @@
                          const std::string& address,
                          const Clock& clock,
                          const HttpDialect& dialect,
+                         std::size_t answer_memory,
                          Handler& handler)
-    : impl_(std::make_shared<Impl>(loop, address, clock, dialect, handler)) {}
+    : impl_(std::make_shared<Impl>(loop,
+                                   address,
+                                   clock,
+                                   dialect,
+                                   answer_memory,
+                                   handler)) {}
 
 BackendPool::~BackendPool() {
   impl_->Stop();
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -2,6 +2,7 @@
 #define PROXY_BACKEND_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -15,7 +16,7 @@
 // Makes HTTP calls to this instance's backend server over persistent
 // connections, one call at a time on each. A connection that carries unexpected
 // bytes is closed. An answer that is incomplete or belongs to another request
-// is never passed on.
+// is never passed on, and one that is too large ends its call as unknown.
 class BackendPool {
  public:
   class Handler {
@@ -26,10 +27,13 @@
     virtual void OnBackendEnd(BackendCallEnd end) = 0;
   };
 
+  // `answer_memory` is the maximum number of bytes that the bodies of all
+  // answers being received take together.
   BackendPool(boost::asio::io_context& loop,
               const std::string& address,
               const Clock& clock,
               const HttpDialect& dialect,
+              std::size_t answer_memory,
               Handler& handler);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 using Kind = HttpDialect::AnswerKind;
 
+constexpr std::size_t kAnswerMemory = 256 * 1024;
+
 // Reads the id of the answered request from the header "Id". Status 421 stands
 // for another server, 503 for a request that was not run.
 class DialectFake final : public HttpDialect {
@@ -56,6 +58,17 @@
   BackendCallEnd Call(const std::string& id,
                       bool is_idempotent = false,
                       milliseconds left = milliseconds(1000)) {
+    Begin(id, is_idempotent, left);
+    if (cancel_after) {
+      loop.run_for(*cancel_after);
+      pool.Cancel(calls);
+    }
+    return WaitFor(calls);
+  }
+  // Makes a call; `calls` is its id.
+  void Begin(const std::string& id,
+             bool is_idempotent = false,
+             milliseconds left = std::chrono::seconds(10)) {
     BackendCall call;
     call.id = ++calls;
     call.server = "s1";
@@ -66,19 +79,17 @@
     call.time_left = left;
     call.is_idempotent = is_idempotent;
     pool.Call(std::move(call));
-    if (cancel_after) {
-      loop.run_for(*cancel_after);
-      pool.Cancel(calls);
-    }
+  }
+  BackendCallEnd WaitFor(BackendCallId call) {
     const auto until =
-        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
     loop.restart();
-    while (!ends.contains(calls) && std::chrono::steady_clock::now() < until) {
+    while (!ends.contains(call) && std::chrono::steady_clock::now() < until) {
       loop.run_one_for(milliseconds(20));
       loop.restart();
     }
-    REQUIRE(ends.contains(calls));
-    return ends[calls];
+    REQUIRE(ends.contains(call));
+    return ends[call];
   }
 
   SystemClock clock;
@@ -97,6 +108,7 @@
              server ? server->address() : address,
              clock,
              dialect,
+             kAnswerMemory,
              *this) {}
 
   void OnBackendEnd(BackendCallEnd end) override {
@@ -248,5 +260,110 @@
   CHECK(cancelled.Call("1").reason == Reason::kCancelled);
 }
 
+// Sends the text once, and then the repeated text until the other side closes.
+// Returns the number of repeated bytes that were sent. Gives up far above any
+// bound that a test sets.
+std::size_t SendWithoutEnd(RawSocket& socket,
+                           const std::string& text,
+                           std::string repeated) {
+  constexpr std::size_t kGiveUp = std::size_t{64} * 1024 * 1024;
+  while (repeated.size() < 8192) {
+    repeated += repeated;
+  }
+  std::size_t sent = 0;
+  bool is_read = socket.Send(text);
+  while (is_read && sent < kGiveUp) {
+    is_read = socket.Send(repeated);
+    sent += is_read ? repeated.size() : 0;
+  }
+  return sent;
+}
+
+// A failing server may send bytes until its connection is closed. Ten calls at
+// once get such bytes while another call is served: no call may hold more than
+// its part of the memory, and none may count as not run.
+TEST_CASE("an answer without end is given up at its bound", "[pool]") {
+  struct Row {
+    const char* name;
+    std::string text;
+    std::string repeated;
+  };
+  const std::string status = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+  const Row rows[] = {
+      {"header fields", status, "X-Pad: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+      {"one header field", status + "X-Pad: ", "a"},
+      {"status line", "HTTP/1.1 200 ", "O"},
+      {"body without a length", status + "\r\n", "a"},
+      {"declared body", status + "Content-Length: 99999999999\r\n\r\n", "a"},
+      {"chunk", chunked + "fffffff\r\n", "a"},
+      {"small chunks", chunked, "1\r\na\r\n"},
+      {"chunk header", chunked + "1;", "a"},
+      {"trailer fields", chunked + "0\r\n", "X-Pad: aaaaaaaaaaaaa\r\n"},
+      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"answers to other requests", "",
+       "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 1\r\n\r\na"},
+      {"no answer at all", "", "x"},
+  };
+  constexpr int kCallsAtOnce = 10;
+  for (const Row& row : rows) {
+    INFO(row.name);
+    std::atomic<std::size_t> sent{0};
+    Fixture f([&](RawSocket& socket, int) {
+      const std::string request = socket.ReadUntil("\r\n\r\n");
+      if (request.find("/good") != std::string::npos) {
+        socket.Send(Answer("good", "own"));
+        return;
+      }
+      sent += SendWithoutEnd(socket, row.text, row.repeated);
+    });
+    for (int i = 0; i < kCallsAtOnce; ++i) {
+      f.Begin("1");
+    }
+    CHECK(f.Call("good", false, milliseconds(5000)).response.body == "own");
+    for (BackendCallId call = 1; call <= kCallsAtOnce; ++call) {
+      const BackendCallEnd end = f.WaitFor(call);
+      CHECK(end.end == RunEnd::kUnknown);
+      CHECK(end.has_arrived);
+      CHECK(end.reason != Reason::kBackendServerTimeout);
+    }
+    // Beside what the pool may hold, each connection has read and socket
+    // buffers.
+    constexpr std::size_t kConnectionBytes = std::size_t{8} * 1024 * 1024;
+    CHECK(sent < kAnswerMemory + kCallsAtOnce * kConnectionBytes);
+  }
+}
+
+TEST_CASE("an answer that fills the memory for answers is passed on",
+          "[pool]") {
+  const std::string body(kAnswerMemory / 2, 'a');
+  Fixture f([&body](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(Answer("1", body));
+  });
+  const BackendCallEnd end = f.Call("1");
+  CHECK(end.end == RunEnd::kAnswered);
+  CHECK(end.response.body == body);
+}
+
+// The server's second copy of its answer arrives after the connection has been
+// taken for the next request.
+TEST_CASE("a second copy of an answer is not taken for the next answer",
+          "[pool]") {
+  Fixture f([](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(Answer("1", "first"));
+    if (socket.ReadUntil("\r\n\r\n").find("/2") != std::string::npos) {
+      socket.Send(Answer("1", "first"));
+      std::this_thread::sleep_for(milliseconds(30));
+      socket.Send(Answer("2", "second"));
+    }
+    socket.ReadUntil("never", milliseconds(300));
+  });
+  CHECK(f.Call("1").response.body == "first");
+  CHECK(f.Call("2").response.body == "second");
+  CHECK(f.pool.opened_count() == 1);
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/proxy/http_listener.cc
+++ b/packages/proxy/http_listener.cc
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "proxy/byte_budget.h"
 #include "transport/address.h"
 
 namespace vanillafall {
@@ -28,8 +29,12 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
 constexpr int kHttp11 = 11;
 
+// Bytes that are read ahead of what the parser has taken. A chunk header, which
+// a caller could extend without end, must fit.
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
 // How often connections are checked for timeouts.
 constexpr milliseconds kSweepPeriod{250};
 // After the last answer on a connection, such as a rejection, the caller may
@@ -112,9 +117,11 @@
   Impl(asio::io_context& loop,
        std::string address,
        const Clock& clock,
+       std::size_t body_memory,
        Handler& handler)
       : address_(std::move(address)),
         clock_(clock),
+        body_memory_(body_memory),
         handler_(handler),
         acceptor_(loop),
         sweep_timer_(loop) {}
@@ -124,6 +131,7 @@
   void BeginStop() { is_stopping_ = true; }
   void Stop();
   std::size_t connection_count() const { return connections_.size(); }
+  std::size_t busy_count() const;
 
  private:
   class Connection;
@@ -134,6 +142,8 @@
 
   const std::string address_;
   const Clock& clock_;
+  // Bodies of the requests that are being received or handled.
+  ByteBudget body_memory_;
   Handler& handler_;
   tcp::acceptor acceptor_;
   asio::steady_timer sweep_timer_;
@@ -150,13 +160,18 @@
     : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Impl& listener, tcp::socket socket)
-      : listener_(listener), socket_(std::move(socket)) {}
+      : listener_(listener),
+        socket_(std::move(socket)),
+        body_share_(listener.body_memory_) {}
 
   void WaitForRequest();
   void Answer(HttpResponse response);
   void Close();
   // Rejects or closes the connection if its phase has lasted too long.
   void CheckTimeout(TimePoint now);
+  bool is_busy() const {
+    return phase_ != Phase::kIdle && phase_ != Phase::kClosed;
+  }
 
  private:
   enum class Phase : std::uint8_t {
@@ -176,7 +191,8 @@
   void ReadHead();
   void OnHead(error_code error);
   void ReadBody();
-  void OnBody(error_code error);
+  void OnBodyRead(error_code error);
+  void OnBody();
   void WatchForClose();
   void OnReadable(error_code error, RequestId watched);
   void Reject(Reason reason, int status, const std::string& detail);
@@ -195,6 +211,9 @@
   std::array<char, 1024> discarded_{};
   Phase phase_ = Phase::kIdle;
   TimePoint phase_deadline_;
+  // When the first byte of the current request arrived.
+  TimePoint first_byte_at_;
+  ByteBudget::Share body_share_;
   RequestId request_id_ = 0;
   bool is_head_request_ = false;
   bool keeps_open_ = false;
@@ -227,9 +246,12 @@
 void HttpListener::Impl::Connection::ReadHead() {
   const CallerLimits limits = listener_.handler_.GetLimits();
   EnterPhase(Phase::kHead, limits.header_timeout);
+  first_byte_at_ = listener_.clock_.now();
+  buffer_.max_size(limits.max_header_bytes + kReadAheadBytes);
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(limits.max_header_bytes);
   parser_->body_limit(limits.max_body_bytes);
+  parser_->eager(true);
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
@@ -266,6 +288,11 @@
     Reject(Reason::kMalformedRequest, kBadRequest, problem);
     return;
   }
+  const auto length = parser_->content_length();
+  if (length && !body_share_.TrySetSize(*length)) {
+    Reject(Reason::kOverloaded, kUnavailable, "no memory for the body");
+    return;
+  }
   const bool waits_for_continue =
       EqualsIgnoringCase(std::string(parser_->get()[http::field::expect]),
                          "100-continue") &&
@@ -289,19 +316,21 @@
   if (phase_ == Phase::kClosed) {
     return;
   }
-  EnterPhase(Phase::kBody, listener_.handler_.GetLimits().idle_timeout);
+  if (phase_ != Phase::kBody) {
+    EnterPhase(Phase::kBody, listener_.handler_.GetLimits().idle_timeout);
+  }
   if (parser_->is_done()) {
-    OnBody({});
+    OnBody();
     return;
   }
-  http::async_read(
+  http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        self->OnBody(error);
+        self->OnBodyRead(error);
       });
 }
 
-void HttpListener::Impl::Connection::OnBody(error_code error) {
+void HttpListener::Impl::Connection::OnBodyRead(error_code error) {
   if (phase_ != Phase::kBody) {
     return;
   }
@@ -322,6 +351,16 @@
     Drop();
     return;
   }
+  // The length of a body in chunks is known only when it has arrived.
+  const bool is_chunked = !parser_->content_length().has_value();
+  if (is_chunked && !body_share_.TrySetSize(parser_->get().body().size())) {
+    Reject(Reason::kOverloaded, kUnavailable, "no memory for the body");
+    return;
+  }
+  ReadBody();
+}
+
+void HttpListener::Impl::Connection::OnBody() {
   keeps_open_ = parser_->get().keep_alive();
   is_head_request_ = parser_->get().method() == http::verb::head;
   request_id_ = ++listener_.last_request_id_;
@@ -330,7 +369,7 @@
   parser_.reset();
   listener_.connections_by_request_[request_id_] = shared_from_this();
   WatchForClose();
-  listener_.handler_.OnRequest(request_id_, std::move(request));
+  listener_.handler_.OnRequest(request_id_, std::move(request), first_byte_at_);
 }
 
 void HttpListener::Impl::Connection::WatchForClose() {
@@ -398,6 +437,8 @@
     const std::shared_ptr<Response>& response,
     bool keeps_open) {
   EnterPhase(Phase::kWriting, kWriteTimeout);
+  body_share_.Release();
+  parser_.reset();
   response->keep_alive(keeps_open);
   http::async_write(socket_, *response,
                     [self = shared_from_this(), response, keeps_open](
@@ -456,6 +497,7 @@
 
 void HttpListener::Impl::Connection::Close() {
   phase_ = Phase::kClosed;
+  body_share_.Release();
   error_code ignored;
   socket_.close(ignored);
   listener_.connections_.erase(shared_from_this());
@@ -545,6 +587,12 @@
   }
 }
 
+std::size_t HttpListener::Impl::busy_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const ConnectionPtr& connection) { return connection->is_busy(); }));
+}
+
 void HttpListener::Impl::Stop() {
   error_code ignored;
   acceptor_.close(ignored);
@@ -559,8 +607,13 @@
 HttpListener::HttpListener(asio::io_context& loop,
                            std::string address,
                            const Clock& clock,
+                           std::size_t body_memory,
                            Handler& handler)
-    : impl_(std::make_shared<Impl>(loop, std::move(address), clock, handler)) {}
+    : impl_(std::make_shared<Impl>(loop,
+                                   std::move(address),
+                                   clock,
+                                   body_memory,
+                                   handler)) {}
 
 HttpListener::~HttpListener() {
   impl_->Stop();
@@ -586,4 +639,8 @@
   return impl_->connection_count();
 }
 
+std::size_t HttpListener::busy_count() const {
+  return impl_->busy_count();
+}
+
 }  // namespace vanillafall
--- a/packages/proxy/http_listener.h
+++ b/packages/proxy/http_listener.h
@@ -2,6 +2,7 @@
 #define PROXY_HTTP_LISTENER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -26,12 +27,16 @@
    public:
     virtual ~Handler() = default;
     // A complete request, with its Host header but without hop-by-hop headers.
-    // It must be answered by one call of Answer.
-    virtual void OnRequest(RequestId id, HttpRequest request) = 0;
+    // Its first byte arrived at the given time; a large body takes a while. It
+    // must be answered by one call of Answer.
+    virtual void OnRequest(RequestId id,
+                           HttpRequest request,
+                           TimePoint first_byte_at) = 0;
     // The caller has closed its connection; no answer is needed.
     virtual void OnCallerGone(RequestId id) = 0;
-    // A request that was malformed, too large or sent too slowly was answered
-    // with this status; OnRequest is not called for it.
+    // A request that was malformed, too large, sent too slowly or for which
+    // there is no memory was answered with this status; OnRequest is not called
+    // for it.
     virtual void OnRejected(Reason reason,
                             int status,
                             const std::string& detail) = 0;
@@ -39,10 +44,12 @@
     virtual CallerLimits GetLimits() const = 0;
   };
 
-  // Each listener numbers its own requests from 1.
+  // Each listener numbers its own requests from 1. `body_memory` is the maximum
+  // number of bytes that the bodies of all unanswered requests take together.
   HttpListener(boost::asio::io_context& loop,
                std::string address,
                const Clock& clock,
+               std::size_t body_memory,
                Handler& handler);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
@@ -57,6 +64,9 @@
   // Closes the port and all connections without calling the handler.
   void Stop();
   std::size_t connection_count() const;
+  // Connections on which a request is being received or handled, or its answer
+  // is being sent.
+  std::size_t busy_count() const;
 
  private:
   class Impl;
--- a/packages/proxy/http_listener_test.cc
+++ b/packages/proxy/http_listener_test.cc
@@ -11,12 +11,16 @@
 
 using std::chrono::milliseconds;
 
+// Two bodies of the largest size.
+constexpr std::size_t kBodyMemory = 2000;
+
 // Runs a listener on a thread of its own. Answers each request with its target;
 // a request whose target begins with "/hold" is never answered.
 class EchoServer final : private HttpListener::Handler {
  public:
   EchoServer()
-      : address_(ClosedAddress()), listener_(loop_, address_, clock_, *this) {
+      : address_(ClosedAddress()),
+        listener_(loop_, address_, clock_, kBodyMemory, *this) {
     listener_.Start();
     thread_ = std::thread([this] { loop_.run(); });
   }
@@ -34,7 +38,9 @@
   int rejected_count() const { return rejected_count_; }
 
  private:
-  void OnRequest(RequestId id, HttpRequest request) override {
+  void OnRequest(RequestId id,
+                 HttpRequest request,
+                 TimePoint /*first_byte_at*/) override {
     const std::string target = request.target;
     {
       const std::lock_guard lock(mutex_);
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -35,6 +35,9 @@
 // The metrics of this daemon do not distinguish customers.
 constexpr std::size_t kMaxCustomers = 1;
 
+// The pages that the daemon answers itself need no bodies.
+constexpr std::size_t kPageBodyMemory = 4096;
+
 // How often the settings file is checked and dropped log lines are reported.
 constexpr milliseconds kHousekeepingPeriod{1000};
 constexpr milliseconds kDrainCheckPeriod{100};
@@ -54,6 +57,15 @@
   return distribution(device);
 }
 
+// Memory for the bodies of all requests, and as much for all answers, that are
+// being received. A body that passes through is in memory up to three times: as
+// received, as a message and as its packed bytes.
+std::size_t BodyMemory(const ProxySettings& settings) {
+  constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+  constexpr std::size_t kMemoryDivisor = 8;
+  return settings.memory_mb * kMebibyte / kMemoryDivisor;
+}
+
 HttpResponse PlainPage(int status, std::string body) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
@@ -84,19 +96,30 @@
             {settings_.peer_address, settings_.data_centre,
              settings_.backend_address, DrawRandomNumber(), DrawRandomNumber()},
             *this),
-        caller_listener_(loop, settings_.caller_address, clock, *this),
+        caller_listener_(loop,
+                         settings_.caller_address,
+                         clock,
+                         BodyMemory(settings_),
+                         *this),
         readiness_page_(*this),
         readiness_listener_(loop,
                             settings_.readiness_address,
                             clock,
+                            kPageBodyMemory,
                             readiness_page_),
         metrics_page_(*this),
         metrics_listener_(loop,
                           settings_.metrics_address,
                           clock,
+                          kPageBodyMemory,
                           metrics_page_),
         peer_links_(loop, settings_.peer_address, clock, *this),
-        backend_pool_(loop, settings_.backend_address, clock, dialect, *this),
+        backend_pool_(loop,
+                      settings_.backend_address,
+                      clock,
+                      dialect,
+                      BodyMemory(settings_),
+                      *this),
         signals_(loop, SIGTERM, SIGINT, SIGHUP),
         wake_timer_(loop),
         housekeeping_timer_(loop),
@@ -128,14 +151,18 @@
   class ReadinessPage final : public Page {
    public:
     using Page::Page;
-    void OnRequest(RequestId id, HttpRequest request) override {
+    void OnRequest(RequestId id,
+                   HttpRequest request,
+                   TimePoint /*first_byte_at*/) override {
       daemon_.OnReadinessProbe(id, request);
     }
   };
   class MetricsPage final : public Page {
    public:
     using Page::Page;
-    void OnRequest(RequestId id, HttpRequest /*request*/) override {
+    void OnRequest(RequestId id,
+                   HttpRequest /*request*/,
+                   TimePoint /*first_byte_at*/) override {
       daemon_.OnMetricsRead(id);
     }
   };
@@ -152,7 +179,9 @@
   ConfigText GetConfigText() override { return config_text_; }
   void Log(LogEvent event) override;
   // HttpListener::Handler.
-  void OnRequest(RequestId id, HttpRequest request) override;
+  void OnRequest(RequestId id,
+                 HttpRequest request,
+                 TimePoint first_byte_at) override;
   void OnCallerGone(RequestId id) override;
   void OnRejected(Reason reason,
                   int status,
@@ -316,12 +345,15 @@
   }
 }
 
-void ProxyDaemon::Impl::OnRequest(RequestId id, HttpRequest request) {
+void ProxyDaemon::Impl::OnRequest(RequestId id,
+                                  HttpRequest request,
+                                  TimePoint first_byte_at) {
   const TimePoint now = clock_.now();
   EntryRequest entry =
       dialect_.ReadCallerRequest(std::move(request), settings_.service);
   entry.id = id;
-  open_requests_[id] = {now, entry.request_id};
+  entry.age = duration_cast<milliseconds>(now - first_byte_at);
+  open_requests_[id] = {first_byte_at, entry.request_id};
   dispatcher_.OnCallerRequest(std::move(entry), now);
   ArmWakeTimer();
 }
@@ -589,7 +621,7 @@
     dispatcher_.BeginStop();
   }
   const bool is_idle =
-      dispatcher_.unfinished_count() == 0 && open_requests_.empty();
+      dispatcher_.unfinished_count() == 0 && caller_listener_.busy_count() == 0;
   const bool is_over = elapsed >= settings_.drain_timeout - kStopMargin;
   if ((is_idle && elapsed >= kMinDrainTime) || is_over) {
     is_drained_ = is_idle;
