--- a/packages/base/log_event.cc
+++ b/packages/base/log_event.cc
@@ -24,6 +24,7 @@
     LogEventInfo{Id::kSettingsReloaded, Severity::kInfo, "settings-reloaded"},
     LogEventInfo{Id::kReadinessChanged, Severity::kInfo, "readiness-changed"},
     LogEventInfo{Id::kLogLinesDropped, Severity::kWarning, "log-lines-dropped"},
+    LogEventInfo{Id::kUnexpectedError, Severity::kError, "unexpected-error"},
     LogEventInfo{Id::kConfigInForce, Severity::kInfo, "config-in-force"},
     LogEventInfo{Id::kConfigRefusedOlder, Severity::kWarning,
                  "config-refused-older"},
--- a/packages/base/log_event.h
+++ b/packages/base/log_event.h
@@ -22,6 +22,7 @@
   kSettingsReloaded = 107,
   kReadinessChanged = 108,
   kLogLinesDropped = 109,
+  kUnexpectedError = 110,
   kConfigInForce = 200,
   kConfigRefusedOlder = 201,
   kConfigDamaged = 202,
--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -364,5 +364,35 @@
   CHECK(f.entry.request_count() == 0);
 }
 
+// The caller counts from the time at which it began to send. A backend server
+// would otherwise be given more time than the caller has left.
+TEST_CASE("the time that a body took to arrive counts toward the time limit",
+          "[entry]") {
+  Fixture f;
+  EntryRequest request;
+  request.id = 1000;
+  request.host = "a.example";
+  request.request.method = "POST";
+  request.request.target = "/book/1";
+  request.time_left = milliseconds(1000);
+  request.age = milliseconds(700);
+  f.entry.OnRequest(std::move(request), f.random, f.now);
+  CHECK(f.LastOffer().time_left == milliseconds(300));
+}
+
+TEST_CASE("a known route without a readable service is refused, not unknown",
+          "[entry]") {
+  Fixture f;
+  DispatchRoute route;
+  route.host = "a.example";
+  route.prefix = "/none/";
+  f.entry.Configure(std::make_shared<RouteTable>(
+      6, std::vector<DispatchRoute>{route}, CallerLimits{}));
+  f.Request("/none/1");
+  REQUIRE(f.delegate.answers.size() == 1);
+  CHECK(f.delegate.answers[0].outcome == Outcome::kNotRun);
+  CHECK(f.delegate.answers[0].reason == Reason::kNoConfig);
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -26,6 +26,9 @@
 using tcp = asio::ip::tcp;
 
 constexpr int kHttp11 = 11;
+// A kept connection that the server had closed before the request arrived is
+// lost within a round trip. After this time, the server had the request.
+constexpr milliseconds kStaleConnectionTime{100};
 constexpr int kFirstFinalStatus = 200;
 
 // Short, because the backend server is on the same instance; a lost SYN packet
@@ -358,7 +361,9 @@
   }
   // The connection was closed while it was idle. An idempotent request is sent
   // once more; any other request has an unknown outcome.
-  if (is_reused_connection_ && call_.is_idempotent) {
+  const bool was_stale = is_reused_connection_ &&
+                         pool_.clock_.now() - started_ <= kStaleConnectionTime;
+  if (was_stale && call_.is_idempotent) {
     CloseSocket();
     Connect();
     return;
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -244,6 +244,25 @@
   CHECK(f.Call("2", true).end == RunEnd::kAnswered);
 }
 
+// The server had read the request. Sending it again could reach a server that
+// has been leaving for long by then, and is a repeat that no budget counts.
+TEST_CASE("a call that is lost late is not sent again", "[pool]") {
+  std::atomic<int> requests{0};
+  Fixture f([&requests](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    if (++requests == 1) {
+      socket.Send(Answer("1", "x"));
+      requests += socket.ReadUntil("\r\n\r\n").empty() ? 0 : 1;
+      std::this_thread::sleep_for(milliseconds(400));
+    }
+  });
+  CHECK(f.Call("1", true).end == RunEnd::kAnswered);
+  const BackendCallEnd end = f.Call("2", true, milliseconds(3000));
+  CHECK(end.end == RunEnd::kUnknown);
+  CHECK(end.has_arrived);
+  CHECK(requests == 2);
+}
+
 TEST_CASE(
     "a call to a server that does not answer ends at its time limit, a "
     "cancelled call at once",
--- a/packages/proxy/http_listener_test.cc
+++ b/packages/proxy/http_listener_test.cc
@@ -176,5 +176,79 @@
   CHECK(FindHeader(request.headers, "Keep-Alive").empty());
 }
 
+// What one caller sends must not use up the memory of all.
+TEST_CASE("bodies beyond the memory for them are refused before they are read",
+          "[listener]") {
+  EchoServer server;
+  const auto post = [](const std::string& target) {
+    return "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n";
+  };
+  RawSocket first(server.address());
+  RawSocket second(server.address());
+  first.Send(post("/hold1") + "\r\n" + std::string(900, 'a'));
+  second.Send(post("/hold2") + "\r\n" + std::string(900, 'a'));
+  REQUIRE(Eventually([&] { return server.requests().size() == 2; }));
+  SECTION("with a declared length") {
+    RawSocket third(server.address());
+    third.Send(post("/three") + "Expect: 100-continue\r\n\r\n");
+    CHECK(ReadStatus(third) == "HTTP/1.1 503");
+  }
+  SECTION("in chunks") {
+    RawSocket third(server.address());
+    third.Send(
+        "POST /three HTTP/1.1\r\nHost: a\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n190\r\n" +
+        std::string(0x190, 'a') + "\r\n");
+    CHECK(ReadStatus(third) == "HTTP/1.1 503");
+  }
+  CHECK(server.requests().size() == 2);
+  // The memory of a body is free again when its caller has gone.
+  first.Close();
+  REQUIRE(Eventually([&] { return server.gone_count() == 1; }));
+  RawSocket fourth(server.address());
+  fourth.Send(post("/four") + "\r\n" + std::string(900, 'a'));
+  CHECK(ReadStatus(fourth) == "HTTP/1.1 200");
+}
+
+TEST_CASE("a request that never ends is rejected at its bound", "[listener]") {
+  struct Row {
+    const char* name;
+    std::string text;
+    std::string repeated;
+  };
+  const std::string head = "POST /p HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const Row rows[] = {
+      {"header fields", head, "X-Pad: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+      {"declared length", head + "Content-Length: 99999999999\r\n\r\n", "a"},
+      {"chunk", chunked + "fffffff\r\n", "a"},
+      {"small chunks", chunked, "1\r\na\r\n"},
+      {"chunk header", chunked + "1;", "a"},
+      {"trailer fields", chunked + "0\r\n", "X-Pad: aaaaaaaaaaaaa\r\n"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EchoServer server;
+    RawSocket socket(server.address());
+    socket.Send(row.text);
+    std::string repeated = row.repeated;
+    while (repeated.size() < 8192) {
+      repeated += repeated;
+    }
+    constexpr int kMaxBlocks = 64;
+    int blocks = 0;
+    while (server.rejected_count() == 0 && blocks < kMaxBlocks &&
+           socket.Send(repeated)) {
+      ++blocks;
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(Eventually([&] { return server.rejected_count() == 1; }));
+    CHECK(server.requests().empty());
+    RawSocket other(server.address());
+    other.Send("GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(ReadStatus(other) == "HTTP/1.1 200");
+  }
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <exception>
 #include <map>
 #include <random>
 #include <utility>
@@ -286,8 +287,16 @@
 }
 
 bool ProxyDaemon::Impl::Run() {
-  loop_.run();
-  return is_drained_;
+  while (true) {
+    try {
+      loop_.run();
+      return is_drained_;
+    } catch (const std::exception& error) {
+      // One input that can't be handled, such as a message too large for the
+      // memory, must not end the requests of all other callers.
+      Log({LogEventId::kUnexpectedError, error.what(), ""});
+    }
+  }
 }
 
 void ProxyDaemon::Impl::AnswerCaller(CallerAnswer answer) {
