--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -407,7 +407,7 @@
   Fixture f;
   for (int i = 0; i < 10; ++i) {
     EntryRequest call;
-    call.id = static_cast<RequestId>(1000 + i);
+    call.id = RequestId{1000} + static_cast<RequestId>(i);
     call.host = "a.example";
     call.request.method = "GET";
     call.request.target = "/look/1";
--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -40,7 +40,7 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 // A chunk header, which a server could extend without end, must fit into the
 // read buffer.
-constexpr std::size_t kMaxBufferBytes = 2 * kMaxHeaderBytes;
+constexpr std::size_t kMaxBufferBytes = std::size_t{2} * kMaxHeaderBytes;
 // Interim answers and answers to other requests that are read before the answer
 // to a request; after more of them its connection is closed.
 constexpr int kMaxSkippedAnswers = 8;
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 using Kind = HttpDialect::AnswerKind;
 
-constexpr std::size_t kAnswerMemory = 256 * 1024;
+constexpr std::size_t kAnswerMemory = std::size_t{256} * 1024;
 
 // Reads the id of the answered request from the header "Id". Status 421 stands
 // for another server, 503 for a request that was not run.
--- a/packages/proxy/http_listener.cc
+++ b/packages/proxy/http_listener.cc
@@ -34,7 +34,7 @@
 
 // Bytes that are read ahead of what the parser has taken. A chunk header, which
 // a caller could extend without end, must fit.
-constexpr std::size_t kReadAheadBytes = 64 * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
 // How often connections are checked for timeouts.
 constexpr milliseconds kSweepPeriod{250};
 // After the last answer on a connection, such as a rejection, the caller may
