Return the memory of an answer's body when its call ends, and call a body that can never fit too large

Found by reading the diff: a share of the memory for answers lived as long as the last operation of its call, and could outlive the pool at a stop.

--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -437,6 +437,7 @@
 }
 
 void BackendPool::Impl::Exchange::CloseSocket() {
+  body_share_.Release();
   if (attempt_ != nullptr) {
     error_code ignored;
     attempt_->socket.close(ignored);
--- a/packages/proxy/byte_budget.h
+++ b/packages/proxy/byte_budget.h
@@ -27,7 +27,12 @@
       bytes_ = bytes;
       return true;
     }
-    void Release() { TrySetSize(0); }
+    // A share that holds nothing does not touch its budget, which may be gone.
+    void Release() {
+      if (bytes_ > 0) {
+        TrySetSize(0);
+      }
+    }
 
    private:
     ByteBudget& budget_;
--- a/packages/proxy/http_listener.cc
+++ b/packages/proxy/http_listener.cc
@@ -250,7 +250,9 @@
   buffer_.max_size(limits.max_header_bytes + kReadAheadBytes);
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(limits.max_header_bytes);
-  parser_->body_limit(limits.max_body_bytes);
+  // A body that can never fit is too large, not refused for the time being.
+  parser_->body_limit(std::min<std::uint64_t>(limits.max_body_bytes,
+                                              listener_.body_memory_.limit()));
   parser_->eager(true);
   http::async_read_header(
       socket_, buffer_, *parser_,
