--- a/packages/dispatch/link_message.h
+++ b/packages/dispatch/link_message.h
@@ -61,7 +61,8 @@
   // failing requests.
   bool accepts_suspect = false;
   // The owner may use the request to test a suspected backend server: if it
-  // fails, the entry can still repeat it at another owner.
+  // fails, the entry can still repeat it at another owner, or its service is in
+  // trouble and would otherwise leave the server idle.
   bool may_test = false;
   // Time until the deadline of the request.
   std::chrono::milliseconds time_left{0};
