--- a/packages/base/log_event.cc
+++ b/packages/base/log_event.cc
@@ -35,6 +35,8 @@
     LogEventInfo{Id::kConfigConflict, Severity::kError, "config-conflict"},
     LogEventInfo{Id::kServersListed, Severity::kInfo, "servers-listed"},
     LogEventInfo{Id::kListingIgnored, Severity::kWarning, "listing-ignored"},
+    LogEventInfo{Id::kPlatformCallFailed, Severity::kInfo,
+                 "platform-call-failed"},
     LogEventInfo{Id::kRequestRefused, Severity::kInfo, "request-refused"},
     LogEventInfo{Id::kRequestUnknown, Severity::kWarning, "request-unknown"},
     LogEventInfo{Id::kMalformedPeerMessage, Severity::kWarning,
--- a/packages/base/log_event.h
+++ b/packages/base/log_event.h
@@ -31,6 +31,7 @@
   kConfigConflict = 205,
   kServersListed = 206,
   kListingIgnored = 207,
+  kPlatformCallFailed = 208,
   kRequestRefused = 300,
   kRequestUnknown = 301,
   kMalformedPeerMessage = 302,
--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -320,6 +320,8 @@
                   {"status", std::to_string(end.response.status)},
                   {"reason", ToString(end.reason)},
                   {"work_ms", std::to_string(work.count())},
+                  {"sends", std::to_string(end.sends)},
+                  {"repeat", run.is_repeat ? "yes" : "no"},
                   {"in_use", std::to_string(queue_.in_use())},
                   {"failing", std::to_string(health_.FailingProbability(now))},
                   {"cancelled", run.is_cancelled ? "yes" : "no"}}});
--- a/packages/dispatch/dispatch_delegate.h
+++ b/packages/dispatch/dispatch_delegate.h
@@ -50,6 +50,8 @@
   Reason reason = Reason::kOk;
   // True when the backend server has read the request.
   bool has_arrived = false;
+  // How often the request was sent.
+  std::uint32_t sends = 0;
   // The process of the backend server does not run: its port refuses
   // connections.
   bool is_down = false;
--- a/packages/dispatch/dispatch_emulator.cc
+++ b/packages/dispatch/dispatch_emulator.cc
@@ -235,7 +235,7 @@
     servers.push_back(nodes_.back()->MakeListedServer());
   }
   for (const auto& node : nodes_) {
-    node->dispatcher().OnConfig(table, now_);
+    node->dispatcher().OnConfig(table, "", now_);
     node->dispatcher().OnServers(servers, now_);
   }
 }
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -29,7 +29,9 @@
       owner_(*this, crash_guard_),
       entry_(identity_.incarnation, *this, directory_, crash_guard_) {}
 
-void Dispatcher::OnConfig(const RouteTablePtr& table, TimePoint now) {
+void Dispatcher::OnConfig(const RouteTablePtr& table,
+                          const std::string& origin,
+                          TimePoint now) {
   const std::uint64_t former = table_ ? table_->version() : 0;
   if (table_ && table->version() <= former) {
     return;
@@ -39,7 +41,7 @@
   owner_.SetConfigVersion(table->version());
   delegate_.Log({LogEventId::kConfigInForce,
                  std::to_string(table->version()),
-                 "",
+                 origin,
                  {{"former", std::to_string(former)},
                   {"routes", std::to_string(table->size())}}});
   DeliverPendingMessages(now);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -43,8 +43,11 @@
 
   // Inputs.
 
-  // A configuration that is not newer than the one in force is ignored.
-  void OnConfig(const RouteTablePtr& table, TimePoint now);
+  // A configuration that is not newer than the one in force is ignored. The
+  // origin says for the log how it was received.
+  void OnConfig(const RouteTablePtr& table,
+                const std::string& origin,
+                TimePoint now);
   void OnServers(const std::vector<ListedServer>& servers, TimePoint now);
   void OnCallerRequest(EntryRequest request, TimePoint now);
   void OnCallerGone(RequestId id, TimePoint now);
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -55,7 +55,7 @@
 TEST_CASE("a request for the instance's own server sends no message",
           "[dispatcher]") {
   Fixture f;
-  f.dispatcher.OnConfig(Table(5, "/"), f.now);
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
   f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
   f.Request("/x");
   CHECK(f.delegate.to_owners.empty());
@@ -73,15 +73,15 @@
 TEST_CASE("an older configuration does not replace a newer one",
           "[dispatcher]") {
   Fixture f;
-  f.dispatcher.OnConfig(Table(5, "/new/"), f.now);
-  f.dispatcher.OnConfig(Table(4, "/old/"), f.now);
+  f.dispatcher.OnConfig(Table(5, "/new/"), "", f.now);
+  f.dispatcher.OnConfig(Table(4, "/old/"), "", f.now);
   CHECK(f.dispatcher.table()->version() == 5);
 }
 
 TEST_CASE("a newer configuration is requested from the daemon that reports it",
           "[dispatcher]") {
   Fixture f;
-  f.dispatcher.OnConfig(Table(5, "/"), f.now);
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
   f.dispatcher.OnEntryMessage(3, Hello{99, 6}, f.now);
   CHECK(f.delegate.SentToEntries<ConfigWanted>().size() == 1);
   // No second request is sent before the reply can have arrived.
@@ -105,7 +105,7 @@
 
 TEST_CASE("a crash is reported to every other owner", "[dispatcher]") {
   Fixture f;
-  f.dispatcher.OnConfig(Table(5, "/"), f.now);
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
   f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
   f.Request("/x");
   f.dispatcher.OnServers({Server("own", "10.0.0.1"), Server("b", "10.0.0.2"),
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -552,17 +552,19 @@
     answer.retry_after =
         std::max(kMinRetryAfter, pending.min_wait.value_or(kMinRetryAfter));
   }
-  delegate_.Log({LogEventId::kRequestAnswered,
-                 pending.entry_request.request_id,
-                 ToString(reason),
-                 {{"outcome", ToString(outcome)},
-                  {"status", std::to_string(answer.response.status)},
-                  {"service", pending.service},
-                  {"route", pending.route->name},
-                  {"config", std::to_string(table_->version())},
-                  {"took_ms", std::to_string(took.count())},
-                  {"left_ms", std::to_string(left.count())},
-                  {"tries", pending.history}}});
+  delegate_.Log(
+      {LogEventId::kRequestAnswered,
+       pending.entry_request.request_id,
+       ToString(reason),
+       {{"outcome", ToString(outcome)},
+        {"status", std::to_string(answer.response.status)},
+        {"service", pending.service},
+        {"route", pending.route->name},
+        {"config", std::to_string(table_->version())},
+        {"took_ms", std::to_string(took.count())},
+        {"left_ms", std::to_string(left.count())},
+        {"repeat_share", std::to_string(pending.entry_request.repeat_share)},
+        {"tries", pending.history}}});
   const RequestId id = pending.entry_request.id;
   delegate_.AnswerCaller(std::move(answer));
   pending_.erase(id);
--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -217,6 +217,7 @@
   bool has_arrived_ = false;
   bool is_finished_ = false;
   int skipped_answers_ = 0;
+  std::uint32_t sends_ = 0;
   ByteBudget::Share body_share_;
 };
 
@@ -289,6 +290,7 @@
   request.body() = std::move(prepared.body);
   request.prepare_payload();
   SetTimer(left + kAnswerGrace, &Exchange::OnAnswerTimeout);
+  ++sends_;
   http::async_write(
       attempt_->socket, request,
       [attempt = attempt_](error_code error, std::size_t /*bytes*/) {
@@ -388,6 +390,7 @@
   end.end = RunEnd::kUnknown;
   end.reason = reason;
   end.has_arrived = true;
+  end.sends = sends_;
   pool_.exchanges_.erase(call_.id);
   pool_.ProbeBackend(end);
 }
@@ -460,6 +463,7 @@
   timer_.cancel();
   CloseSocket();
   end.id = call_.id;
+  end.sends = sends_;
   const auto self = shared_from_this();
   pool_.exchanges_.erase(call_.id);
   pool_.ReportEnd(std::move(end));
--- a/packages/proxy/fleet_source.h
+++ b/packages/proxy/fleet_source.h
@@ -19,8 +19,11 @@
   class Listener {
    public:
     virtual ~Listener() = default;
-    // A configuration, both as text and parsed.
-    virtual void OnConfig(ConfigText text, RouteTablePtr table) = 0;
+    // A configuration, both as text and parsed. The origin says for the log
+    // how it was received.
+    virtual void OnConfig(ConfigText text,
+                          RouteTablePtr table,
+                          const std::string& origin) = 0;
     // The complete list of backend servers; it may be some seconds old.
     virtual void OnServers(std::vector<ListedServer> servers) = 0;
     // The current list entry of the watched server.
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -199,7 +199,9 @@
   // BackendPool::Handler.
   void OnBackendEnd(BackendCallEnd end) override;
   // FleetSource::Listener.
-  void OnConfig(ConfigText text, RouteTablePtr table) override;
+  void OnConfig(ConfigText text,
+                RouteTablePtr table,
+                const std::string& origin) override;
   void OnServers(std::vector<ListedServer> servers) override;
   void OnServerChanged(ListedServer server) override;
   void OnServerRemoved(const std::string& id, std::uint64_t revision) override;
@@ -343,7 +345,7 @@
   // so the configuration is applied in a later turn of the event loop.
   asio::post(loop_, [this, config] {
     if (const RouteTablePtr table = source_.ReadConfig(config)) {
-      OnConfig(config, table);
+      OnConfig(config, table, "another daemon");
     }
   });
 }
@@ -420,13 +422,15 @@
   ArmWakeTimer();
 }
 
-void ProxyDaemon::Impl::OnConfig(ConfigText text, RouteTablePtr table) {
+void ProxyDaemon::Impl::OnConfig(ConfigText text,
+                                 RouteTablePtr table,
+                                 const std::string& origin) {
   const RouteTablePtr& current = dispatcher_.table();
   if (current && table->version() <= current->version()) {
     return;
   }
   config_text_ = std::move(text);
-  dispatcher_.OnConfig(table, clock_.now());
+  dispatcher_.OnConfig(table, origin, clock_.now());
   ArmWakeTimer();
 }
 
