List the calls of repeats that no budget holds back as a known red test

Found while looking for other places where repeats are not counted: a repeat makes its calls again, and the budget of the called service is charged only afterwards, in proportion, so these calls are bounded only by the budget of the calling service, which all of its routes fill.

Trial, not landed: a budget for each route beside that of its service. What is needed is to know which calls a repeat makes; a daemon can't tell its own server's calls from other callers' requests today.

--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -427,6 +427,36 @@
   CHECK(f.delegate.answers[0].response.status == 500);
 }
 
+// A repeat makes its calls again, which the budget of the called service can't
+// hold back.
+TEST_CASE("requests of one route earn no repeats for another route",
+          "[.red_calls]") {
+  Fixture f;
+  constexpr int kBookings = 100;
+  for (int i = 0; i < kBookings; ++i) {
+    f.Request("/book/1");
+    f.GrantLastOffer();
+    f.EndLastRun(RunEnd::kAnswered, 200);
+  }
+  constexpr int kLookups = 20;
+  int repeats = 0;
+  for (int i = 0; i < kLookups; ++i) {
+    f.delegate.answers.clear();
+    f.Request("/look/1");
+    f.GrantLastOffer();
+    f.EndLastRun(RunEnd::kAnswered, 500);
+    if (f.delegate.answers.empty()) {
+      ++repeats;
+      f.GrantLastOffer();
+      f.EndLastRun(RunEnd::kAnswered, 200);
+    }
+  }
+  // The fixture made as many lookups before. The fleet may repeat a fifth.
+  constexpr double kFleetShare = 0.2;
+  constexpr int kAlwaysAllowed = 1;
+  CHECK(repeats <= kAlwaysAllowed + kFleetShare * 2 * kLookups);
+}
+
 TEST_CASE("a second run is marked as a repeat", "[entry]") {
   Fixture f;
   f.Request("/look/1");
