Tie a named limit to the process that named it, not to its place in the list

Callers saw nothing yet; found while reading for the leaving of servers. A server could get more than it takes (LIMIT), or its successor far less than it could serve.

Cause: state kept by the wrong key. The owner dropped the limit whenever the listed server changed, also when the same process was only missing from the list for a time, and it took the late answer of a replaced process as the word of its successor, which then kept that limit until its first own answer.

Change: a run remembers the process that it called (id and start); only the answers of the process that was last listed set the limit, and only another process ends it.

Tests seen to fail first: 'the late answer of a former process sets no limit for the next one' (2 grants, 6 due) and 'a server keeps its limit when it is missing from the list for a time' (6 grants, 2 allowed).

--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -70,8 +70,11 @@
     queue_.SetSlots(std::max(1U, server->slots));
   }
   const bool is_draining = server && server->is_draining;
-  if (former != current || is_restarted) {
+  if (server && server->process() != last_process_) {
+    last_process_ = server->process();
     rate_limit_.SetRate(std::nullopt, now);
+  }
+  if (former != current || is_restarted) {
     health_.Reset();
     was_suspect_ = false;
     down_until_ = {};
@@ -216,6 +219,7 @@
   open.id = run.id;
   open.link = link;
   open.offer = offer;
+  open.process = last_process_;
   open.request_id = run.request_id;
   open.is_repeat = run.is_repeat;
   open.started = now;
@@ -315,7 +319,7 @@
   RecordCrash(run, end, now);
   RecordHealth(run, end, now);
   if (end.notice) {
-    ApplyNotice(*end.notice, now);
+    ApplyNotice(run, *end.notice, now);
   }
   if (end.is_other_server) {
     delegate_.RefreshServers(RefreshReason::kOwnServer);
@@ -351,7 +355,12 @@
   }
 }
 
-void BackendOwner::ApplyNotice(const ServerNotice& notice, TimePoint now) {
+void BackendOwner::ApplyNotice(const OpenRun& run,
+                               const ServerNotice& notice,
+                               TimePoint now) {
+  if (run.process != last_process_) {
+    return;
+  }
   const bool was_limited = rate_limit_.is_limited();
   rate_limit_.SetRate(notice.max_requests_per_second, now);
   if (was_limited != rate_limit_.is_limited()) {
--- a/packages/dispatch/backend_owner.h
+++ b/packages/dispatch/backend_owner.h
@@ -78,6 +78,8 @@
     bool is_cancelled = false;
     bool is_repeat = false;
     Offer offer;
+    // The process that was called.
+    ServerProcess process;
     std::string request_id;
     TimePoint started;
     // When the run is cancelled because its entry did not resume it.
@@ -124,8 +126,10 @@
   void RetainResult(const RunResult& result, TimePoint now);
   // Drops results and ended runs whose retention time is over.
   void ExpireResults(TimePoint now);
-  // Follows what the backend server says about itself.
-  void ApplyNotice(const ServerNotice& notice, TimePoint now);
+  // Follows what the backend server says about itself in an answer to the run.
+  void ApplyNotice(const OpenRun& run,
+                   const ServerNotice& notice,
+                   TimePoint now);
   // Expected time that one more offer would wait for a slot and for its turn
   // within the backend server's rate.
   Duration ExpectedWait(std::uint32_t priority,
@@ -139,6 +143,8 @@
   DispatchDelegate& delegate_;
   CrashGuard& crash_guard_;
   std::optional<ListedServer> server_;
+  // The process last listed here, also while none is.
+  ServerProcess last_process_;
   bool is_stopping_ = false;
   std::uint64_t config_version_ = 0;
   // Offers are denied until this time, because the backend server did not
--- a/packages/dispatch/backend_owner_test.cc
+++ b/packages/dispatch/backend_owner_test.cc
@@ -193,6 +193,35 @@
   CHECK(f.grants() == 6);
 }
 
+TEST_CASE("the late answer of a former process sets no limit for the next one",
+          "[owner]") {
+  Fixture f(10);
+  f.Run(f.SendOffer());
+  const BackendCallId late = f.delegate.calls.back().id;
+  ListedServer restarted = Server(10);
+  restarted.started_at = seconds(1'700'000'000);
+  f.owner.SetServer(restarted, f.now);
+  f.EndCall(late, 1);
+  for (int i = 0; i < 5; ++i) {
+    f.Run(f.SendOffer());
+  }
+  CHECK(f.grants() == 6);
+}
+
+TEST_CASE(
+    "a server keeps its limit when it is missing from the list for a time",
+    "[owner]") {
+  Fixture f(10);
+  f.Run(f.SendOffer());
+  f.NameLimit(1);
+  f.owner.SetServer(std::nullopt, f.now);
+  f.owner.SetServer(Server(10), f.now);
+  for (int i = 0; i < 5; ++i) {
+    f.SendOffer();
+  }
+  CHECK(f.grants() == 2);
+}
+
 TEST_CASE("a waiting offer gets the slot that becomes free", "[owner]") {
   Fixture f;
   f.Run(f.SendOffer());
--- a/packages/dispatch/server_directory.h
+++ b/packages/dispatch/server_directory.h
@@ -15,6 +15,16 @@
 
 namespace vanillafall {
 
+// One process of a backend server: started again under the same id, it is
+// another one.
+struct ServerProcess {
+  std::string id;
+  // Since the Unix epoch; 0 when it is not published.
+  std::chrono::milliseconds started_at{0};
+
+  friend bool operator==(const ServerProcess&, const ServerProcess&) = default;
+};
+
 // A backend server as published in the list.
 struct ListedServer {
   std::string id;
@@ -36,6 +46,8 @@
   // same id is another incarnation. 0 when it is not published.
   std::chrono::milliseconds started_at{0};
 
+  ServerProcess process() const { return {id, started_at}; }
+
   friend bool operator==(const ListedServer&, const ListedServer&) = default;
 };
 
