Send nothing more to a server that says in an answer that it is leaving

Cause: nothing read the header Server-Leaving. Only the server's entry in the store told of its leaving.

Change: the owner denies offers and granted runs from the first such answer on, for that process of the server, also when its entry comes and goes. Its reports tell the entries, which remember the process and offer it nothing: the owner may be restarted and then knows nothing of it. A report names the start of the leaving process, so that a late one is not taken for news of the process that replaces it under its id.

Tests, seen to fail with the two decisions taken out: 'a server that says that it is leaving gets no further requests' (2 calls, 1 allowed) and 'an entry offers nothing to a server that an answer said is leaving' (2 offers, 1 allowed). 'a process that replaces a leaving one under its id gets requests' guards against the opposite fault.

--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -72,6 +72,7 @@
   const bool is_draining = server && server->is_draining;
   if (server && server->process() != last_process_) {
     last_process_ = server->process();
+    has_announced_leaving_ = false;
     rate_limit_.SetRate(std::nullopt, now);
   }
   if (former != current || is_restarted) {
@@ -126,7 +127,7 @@
   if (!server_ || server_->id != offer.server) {
     return DenyReason::kNotOwner;
   }
-  if (is_stopping_ || server_->is_draining) {
+  if (is_stopping_ || IsLeaving()) {
     return DenyReason::kLeaving;
   }
   if (now < down_until_) {
@@ -200,7 +201,7 @@
   }
   const Offer& offer = node.mapped().offer;
   const bool is_gone = !server_ || server_->id != offer.server || is_stopping_;
-  if (is_gone || server_->is_draining || run.time_left <= milliseconds(0)) {
+  if (is_gone || IsLeaving() || run.time_left <= milliseconds(0)) {
     rate_limit_.Return();
     ReleaseSlot(run.id, now);
     RefuseRun(link, run.id, is_gone ? Reason::kDraining : Reason::kOverloaded,
@@ -361,12 +362,17 @@
   if (run.process != last_process_) {
     return;
   }
+  if (notice.is_leaving && !has_announced_leaving_) {
+    has_announced_leaving_ = true;
+    delegate_.Log({LogEventId::kOwnServerChanged, run.process.id,
+                   "leaving, as its answer says"});
+  }
   const bool was_limited = rate_limit_.is_limited();
   rate_limit_.SetRate(notice.max_requests_per_second, now);
   if (was_limited != rate_limit_.is_limited()) {
     delegate_.Log(
         {LogEventId::kOwnServerLimited,
-         server_ ? server_->id : "",
+         run.process.id,
          rate_limit_.is_limited() ? "limited" : "no longer limited",
          {{"per_second",
            std::to_string(notice.max_requests_per_second.value_or(0))}}});
@@ -591,6 +597,10 @@
   load.in_use = rate_limit_.HasToken(now) ? queue_.in_use() : queue_.slots();
   load.waiting = queue_.waiting();
   load.failure_probability = health_.FailureProbability(now);
+  if (has_announced_leaving_) {
+    load.is_leaving = true;
+    load.leaving_started_at = last_process_.started_at;
+  }
   load.expected_wait = ToMilliseconds(
       ExpectedWait(0, false, work_.ExpectedForAnyRoute(kDefaultWork), now));
   return load;
--- a/packages/dispatch/backend_owner.h
+++ b/packages/dispatch/backend_owner.h
@@ -126,6 +126,10 @@
   void RetainResult(const RunResult& result, TimePoint now);
   // Drops results and ended runs whose retention time is over.
   void ExpireResults(TimePoint now);
+  // Whether the backend server is leaving, as the list or it itself says.
+  bool IsLeaving() const {
+    return has_announced_leaving_ || (server_ && server_->is_draining);
+  }
   // Follows what the backend server says about itself in an answer to the run.
   void ApplyNotice(const OpenRun& run,
                    const ServerNotice& notice,
@@ -146,6 +150,9 @@
   // The process last listed here, also while none is.
   ServerProcess last_process_;
   bool is_stopping_ = false;
+  // last_process_ has said in an answer that it is leaving; it will not come
+  // back.
+  bool has_announced_leaving_ = false;
   std::uint64_t config_version_ = 0;
   // Offers are denied until this time, because the backend server did not
   // accept connections or was replaced.
--- a/packages/dispatch/backend_owner_test.cc
+++ b/packages/dispatch/backend_owner_test.cc
@@ -179,6 +179,35 @@
   CHECK(f.delegate.SentToEntries<Grant>().back().id == patient.id);
 }
 
+TEST_CASE("a server that says that it is leaving gets no further requests",
+          "[owner]") {
+  Fixture f(10);
+  f.Run(f.SendOffer());
+  const Offer granted = f.SendOffer();
+  BackendCallEnd end;
+  end.id = f.delegate.calls.back().id;
+  end.end = RunEnd::kAnswered;
+  end.has_arrived = true;
+  end.response.status = 200;
+  end.notice = ServerNotice{std::nullopt, true};
+  f.owner.OnBackendEnd(std::move(end), f.now);
+  CHECK(f.delegate.SentToEntries<RunResult>().back().load.is_leaving);
+  f.Run(granted);
+  f.SendOffer();
+  CHECK(f.LastDenial() == DenyReason::kLeaving);
+  CHECK(f.delegate.calls.size() == 1);
+  // A later change of its entry in the list does not bring it back.
+  f.owner.SetServer(std::nullopt, f.now);
+  f.owner.SetServer(Server(9), f.now);
+  f.SendOffer();
+  CHECK(f.delegate.SentToEntries<Deny>().size() == 2);
+  ListedServer restarted = Server(10);
+  restarted.started_at = seconds(1'700'000'000);
+  f.owner.SetServer(restarted, f.now);
+  f.Run(f.SendOffer());
+  CHECK(f.delegate.calls.size() == 2);
+}
+
 TEST_CASE("a new process of the server is not bound by the limit of the former",
           "[owner]") {
   Fixture f(10);
--- a/packages/dispatch/link_message.h
+++ b/packages/dispatch/link_message.h
@@ -36,6 +36,11 @@
   double failure_probability = 0;
   // Expected time that one more offer would wait for a slot.
   std::chrono::milliseconds expected_wait{0};
+  // The backend server has said in an answer that it is leaving.
+  bool is_leaving = false;
+  // Start of the process that is leaving, since the Unix epoch; 0 when it is
+  // not published, or none is leaving.
+  std::chrono::milliseconds leaving_started_at{0};
 };
 
 // Entry to owner: requests a slot for a request, without the request itself.
--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -427,6 +427,44 @@
   CHECK(f.delegate.answers[0].response.status == 500);
 }
 
+// The owner may restart meanwhile, and then knows nothing of the leaving.
+TEST_CASE("an entry offers nothing to a server that an answer said is leaving",
+          "[entry]") {
+  Fixture f(1);
+  f.Request("/book/1");
+  f.GrantLastOffer();
+  RunResult result;
+  result.id = f.delegate.SentToOwners<Run>().back().second.id;
+  result.end = RunEnd::kAnswered;
+  result.response.status = 200;
+  result.load.is_leaving = true;
+  f.entry.OnResult(std::move(result), f.random, f.now);
+  f.directory.OnLoad("s0", {}, f.now);
+  const std::size_t offers = f.offers();
+  f.Request("/book/2");
+  CHECK(f.offers() == offers);
+  CHECK(f.delegate.answers.back().outcome == Outcome::kNotRun);
+  // Its registration may expire and come back.
+  f.directory.Update({}, f.now);
+  f.directory.Update({Server("s0")}, f.now);
+  f.Request("/book/3");
+  CHECK(f.offers() == offers);
+}
+
+TEST_CASE("a process that replaces a leaving one under its id gets requests",
+          "[entry]") {
+  Fixture f(1);
+  ListedServer restarted = Server("s0");
+  restarted.started_at = seconds(1'700'000'000);
+  f.directory.Update({restarted}, f.now);
+  // The owner may learn of the new process later than the entry.
+  OwnerLoad outdated;
+  outdated.is_leaving = true;
+  f.directory.OnLoad("s0", outdated, f.now);
+  f.Request("/book/1");
+  CHECK(f.offers() == 1);
+}
+
 // A repeat makes its calls again, which the budget of the called service can't
 // hold back.
 TEST_CASE("requests of one route earn no repeats for another route",
--- a/packages/dispatch/server_directory.cc
+++ b/packages/dispatch/server_directory.cc
@@ -43,6 +43,10 @@
 // has not changed by then, the next offer is denied again.
 constexpr milliseconds kUnavailableAvoidTime{1000};
 
+// A server that is leaving and no longer listed is remembered for this time, in
+// case that its registration has only expired.
+constexpr std::chrono::minutes kLeavingRetention{10};
+
 // Weight of a report by its age, from 1 down to 0.
 double DecayFactor(TimePoint reported_at, Seconds decay_time, TimePoint now) {
   return std::exp(-Seconds(now - reported_at) / decay_time);
@@ -70,6 +74,27 @@
     }
     servers_[listed.id] = std::move(server);
   }
+  ForgetLeaving(now);
+}
+
+void ServerDirectory::ForgetLeaving(TimePoint now) {
+  for (auto& [id, leaving] : leaving_) {
+    if (servers_.contains(id)) {
+      leaving.last_listed = now;
+    }
+  }
+  std::erase_if(leaving_, [this, now](const auto& entry) {
+    const auto& [id, leaving] = entry;
+    const ListedServer* listed = Find(id);
+    return listed != nullptr ? listed->started_at > leaving.started_at
+                             : now >= leaving.last_listed + kLeavingRetention;
+  });
+}
+
+bool ServerDirectory::IsLeaving(const ListedServer& server) const {
+  const auto found = leaving_.find(server.id);
+  return found != leaving_.end() &&
+         found->second.started_at == server.started_at;
 }
 
 void ServerDirectory::OnLoad(const std::string& id,
@@ -82,6 +107,9 @@
   found->second.load = load;
   found->second.reported_at = now;
   found->second.has_report = true;
+  if (load.is_leaving) {
+    leaving_[id] = {load.leaving_started_at, now};
+  }
   found->second.missed_replies = 0;
   found->second.avoid_until = {};
 }
@@ -129,6 +157,9 @@
       continue;
     }
     const ServerState& server = servers_.at(id);
+    if (IsLeaving(server.listed)) {
+      continue;
+    }
     Candidate candidate;
     candidate.id = id;
     candidate.owner = server.listed.owner;
--- a/packages/dispatch/server_directory.h
+++ b/packages/dispatch/server_directory.h
@@ -95,7 +95,7 @@
   // The owner did not reply in time, or its link broke.
   void OnNoReply(const std::string& id, TimePoint now);
 
-  // The service's servers that are not excluded and not draining, in the order
+  // The service's servers that are not excluded and not leaving, in the order
   // in which to offer: servers to avoid come last, then by cost.
   std::vector<Candidate> Rank(std::string_view service,
                               const std::set<std::string>& excluded,
@@ -124,7 +124,15 @@
     // Replies missed since the last report.
     std::uint32_t missed_replies = 0;
   };
+  // A process that is leaving, as its owner has reported.
+  struct LeavingProcess {
+    std::chrono::milliseconds started_at{0};
+    TimePoint last_listed;
+  };
 
+  bool IsLeaving(const ListedServer& server) const;
+  // Drops the processes that have been replaced or unlisted for a long time.
+  void ForgetLeaving(TimePoint now);
   double CostOf(const ServerState& server, TimePoint now) const;
   // The reported failure probability, reduced according to its age.
   static double FailureProbability(const ServerState& server, TimePoint now);
@@ -133,6 +141,9 @@
   const std::string data_centre_;
   std::map<std::string, ServerState> servers_;
   std::map<std::string, std::vector<std::string>, std::less<>> by_service_;
+  // By id. Outlives the entry in servers_ and the owner's process, because a
+  // leaving server can be listed again and a restarted owner does not know it.
+  std::map<std::string, LeavingProcess> leaving_;
 };
 
 }  // namespace vanillafall
--- a/packages/proxy/link.capnp
+++ b/packages/proxy/link.capnp
@@ -17,6 +17,8 @@
   waiting @2 :UInt16;
   failurePermille @3 :UInt16;
   expectedWaitMs @4 :UInt32;
+  isLeaving @5 :Bool;
+  leavingStartedAtMs @6 :Int64;
 }
 
 struct Hello { incarnation @0 :UInt64; configVersion @1 :UInt64; }
--- a/packages/proxy/link_codec.cc
+++ b/packages/proxy/link_codec.cc
@@ -77,6 +77,8 @@
   out.setFailurePermille(
       Saturated<std::uint16_t>(load.failure_probability * kPermille));
   out.setExpectedWaitMs(Saturated<std::uint32_t>(load.expected_wait.count()));
+  out.setIsLeaving(load.is_leaving);
+  out.setLeavingStartedAtMs(load.leaving_started_at.count());
 }
 
 OwnerLoad Decode(link::Load::Reader in) {
@@ -86,6 +88,8 @@
   load.waiting = in.getWaiting();
   load.failure_probability = in.getFailurePermille() / kPermille;
   load.expected_wait = milliseconds(in.getExpectedWaitMs());
+  load.is_leaving = in.getIsLeaving();
+  load.leaving_started_at = milliseconds(in.getLeavingStartedAtMs());
   return load;
 }
 
--- a/packages/proxy/link_codec_test.cc
+++ b/packages/proxy/link_codec_test.cc
@@ -65,10 +65,15 @@
   result.response.status = 503;
   result.load.in_use = 2;
   result.load.failure_probability = 0.25;
+  result.load.is_leaving = true;
+  result.load.leaving_started_at = std::chrono::milliseconds(1'700'000'000'123);
   const RunResult decoded_result = RoundTrip(result);
   CHECK(decoded_result.end == RunEnd::kNotRun);
   CHECK(decoded_result.reason == Reason::kBackendServerShed);
   CHECK(decoded_result.load.failure_probability == Approx(0.25));
+  CHECK(decoded_result.load.is_leaving);
+  CHECK(decoded_result.load.leaving_started_at ==
+        result.load.leaving_started_at);
 
   CHECK(RoundTrip(Resume{{{1, 2}, {3, 4}}}).ids.size() == 2);
   CHECK(RoundTrip(Hello{4, 5}).config_version == 5);
