Take no answer without its request's id for a refusal

Reported by another operator: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that had run (REFUSED), or these ran at a second server (TWICE).

It could happen here: a refusal with the id of another request was skipped, but one without an id counted as the answer to the request at hand, as 'not run' or as sent to another server; so did a failure without an id.

Class: state inferred from what is missing. Only successes had to name their request.

Change: every answer has to echo the id of its request; one without it shows nothing, so the outcome is unknown and the connection is closed.

'a second copy of a refusal does not refuse the next request' passes before and after: the copy that names its request was skipped already.

--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -168,6 +168,27 @@
   CHECK(f.Call("2").response.body == "own2");
 }
 
+TEST_CASE("a second copy of a refusal does not refuse the next request",
+          "[pool]") {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> served{0};
+  Fixture f([&](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(refusal);
+    socket.ReadUntil("\r\n\r\n");
+    ++served;
+    socket.Send(refusal);
+    socket.Send(Answer("2", "own"));
+    socket.ReadUntil("never", milliseconds(500));
+  });
+  CHECK(f.Call("1").end == RunEnd::kNotRun);
+  const BackendCallEnd end = f.Call("2");
+  CHECK(end.end == RunEnd::kAnswered);
+  CHECK(end.response.body == "own");
+  CHECK(served == 1);
+}
+
 TEST_CASE("an incomplete or malformed answer leaves the outcome unknown",
           "[pool]") {
   const std::vector<std::string> answers = {
--- a/packages/proxy/http_dialect.h
+++ b/packages/proxy/http_dialect.h
@@ -26,8 +26,8 @@
     // Another backend server listens at this address and has not run the
     // request.
     kOtherServer,
-    // The status is a success, but the answer lacks the mark that backend
-    // servers put on their own answers.
+    // The answer lacks what backend servers put on every answer of theirs, so
+    // it shows nothing about the request.
     kUnmarked,
   };
 
