Take an answer that is broken off in its head for truncated, where libcurl does not

It could happen here, in fleets with service files: their calls to backend servers go through libcurl, which reports success when a connection is closed after the status line and one whole header line. A 200 whose Content-Length had arrived, a 204 and any answer to HEAD were passed on as whole and as done. In proxy mode it can't happen: Boost.Beast reports an incomplete message, and the new test of all prefixes passes without a change.

Class: trust in the library's verdict on completeness. The same in other calls through libcurl: the platform client took an empty value for the published one, and the load tool counted such an answer as answered. The command line tool has the same call and was left as it is; what it prints for such a page was not run.

Change: an answer counts only once the empty line that ends its head has come.

Tests seen to fail first: 'an answer that is broken off in its head is not passed on' (of the 200 and the 204, each prefix of the whole), 'an answer that is broken off in its head gives no value'.

--- a/packages/message/http.cc
+++ b/packages/message/http.cc
@@ -46,4 +46,10 @@
                      });
 }
 
+bool IsHeadComplete(std::string_view line, bool was_complete) {
+  // An interim answer is followed by the head of another one.
+  const bool is_first_line = line.starts_with("HTTP/");
+  return line == "\r\n" || line == "\n" || (was_complete && !is_first_line);
+}
+
 }  // namespace vanillafall
--- a/packages/message/http.h
+++ b/packages/message/http.h
@@ -26,6 +26,12 @@
 // Content-Length.
 bool IsHopByHopHeader(std::string_view name);
 
+// Whether the head of an answer is complete after this line of it;
+// `was_complete` is the result for the line before, false for the first one.
+// libcurl reports success when a connection is closed within the head, so its
+// callers pass all lines of heads and trailers to this function.
+bool IsHeadComplete(std::string_view line, bool was_complete);
+
 // An HTTP request. The target is the path and query as the caller sent them.
 struct HttpRequest {
   std::string method;
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -205,6 +205,21 @@
   }
 }
 
+TEST_CASE("an answer that is broken off in its head is not passed on",
+          "[pool]") {
+  const bool has_length = GENERATE(true, false);
+  const std::string head = std::string("HTTP/1.1 200 OK\r\nId: 1\r\n") +
+                           (has_length ? "Content-Length: 2\r\n\r\n" : "\r\n");
+  for (std::size_t length = 1; length < head.size(); ++length) {
+    CAPTURE(length);
+    Fixture f([part = head.substr(0, length)](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Send(part);
+    });
+    CHECK(f.Call("1").end == RunEnd::kUnknown);
+  }
+}
+
 TEST_CASE(
     "an answer without a length ends when its connection is closed, but not "
     "when it is reset",
--- a/packages/transport/backend_client.cc
+++ b/packages/transport/backend_client.cc
@@ -84,6 +84,7 @@
   bool uses_fresh_connection_ = false;
   bool is_too_large_ = false;
   bool has_length_ = false;
+  bool is_head_complete_ = false;
   HttpResponse response_;
 };
 
@@ -203,6 +204,8 @@
                                void* self) {
   auto* transfer = static_cast<Transfer*>(self);
   const std::string_view line(data, size * count);
+  transfer->is_head_complete_ =
+      IsHeadComplete(line, transfer->is_head_complete_);
   if (line.starts_with("HTTP/")) {
     transfer->response_.headers.clear();
     transfer->has_length_ = false;
@@ -260,7 +263,8 @@
 BackendClient::End Transfer::ClassifyEnd(CURLcode code) const {
   using End = BackendClient::End;
   if (code == CURLE_OK) {
-    return HasKnownLength() ? End::kAnswered : End::kTruncated;
+    return is_head_complete_ && HasKnownLength() ? End::kAnswered
+                                                 : End::kTruncated;
   }
   if (send_count_ == 0) {
     return End::kNotConnected;
--- a/packages/transport/backend_client_test.cc
+++ b/packages/transport/backend_client_test.cc
@@ -152,6 +152,23 @@
   }
 }
 
+TEST_CASE("an answer that is broken off in its head is not passed on") {
+  Fixture fixture;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+  const std::string no_content = "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n";
+  BackendClient::CallId id = 0;
+  for (const std::string& whole : {head, no_content}) {
+    for (std::size_t length = 1; length < whole.size(); ++length) {
+      CAPTURE(whole, length);
+      RawServer server(ReadThenSendAndClose(whole.substr(0, length)));
+      const BackendClient::Result result = fixture.Call(++id, server.address());
+      const bool is_incomplete =
+          result.end == End::kTruncated || result.end == End::kLost;
+      CHECK(is_incomplete);
+    }
+  }
+}
+
 TEST_CASE("an answer with an error status counts as an answer") {
   RawServer server(ReadThenSendAndClose(
       "HTTP/1.1 503 Shed\r\nContent-Length: 4\r\n\r\nshed"));
--- a/packages/transport/platform_client.cc
+++ b/packages/transport/platform_client.cc
@@ -32,12 +32,18 @@
   milliseconds timeout{0};
 };
 
+// The answer to a query, as far as it has arrived.
+struct Answer {
+  PlatformClient::Value value;
+  bool is_head_complete = false;
+};
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* context) {
-  auto* value = static_cast<PlatformClient::Value*>(context);
-  if (value->body.size() + size * n > kMaxValueBytes) {
+  std::string& body = static_cast<Answer*>(context)->value.body;
+  if (body.size() + size * n > kMaxValueBytes) {
     return 0;
   }
-  value->body.append(data, size * n);
+  body.append(data, size * n);
   return size * n;
 }
 
@@ -45,13 +51,14 @@
                      std::size_t size,
                      std::size_t n,
                      void* context) {
-  auto* value = static_cast<PlatformClient::Value*>(context);
+  auto* answer = static_cast<Answer*>(context);
   const std::string_view line(data, size * n);
+  answer->is_head_complete = IsHeadComplete(line, answer->is_head_complete);
   const std::size_t colon = line.find(": ");
   if (colon != std::string_view::npos &&
       EqualsIgnoringCase(line.substr(0, colon), kRevisionHeader)) {
     std::from_chars(line.data() + colon + 2, line.data() + line.size(),
-                    value->revision);
+                    answer->value.revision);
   }
   return size * n;
 }
@@ -131,7 +138,7 @@
 }
 
 void PlatformClient::RequestThread::Perform(CURL* easy, const Query& query) {
-  Value value;
+  Answer answer;
   const std::string url = "http://" + address_ + query.target;
   curl_easy_reset(easy);
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
@@ -142,9 +149,9 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(query.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &value);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
-  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &value);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &answer);
   curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
   curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &is_stopping_);
@@ -152,11 +159,12 @@
   const CURLcode code = curl_easy_perform(easy);
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  const bool is_reached = code == CURLE_OK && status < kFirstServerError;
+  const bool is_reached =
+      code == CURLE_OK && answer.is_head_complete && status < kFirstServerError;
   const bool has_value = is_reached && status == kOkStatus;
   listener_.OnPlatformValue(
       query.name,
-      has_value ? std::optional<Value>(std::move(value)) : std::nullopt,
+      has_value ? std::optional(std::move(answer.value)) : std::nullopt,
       is_reached);
 }
 
--- /dev/null
+++ b/packages/transport/platform_client_test.cc
@@ -0,0 +1,68 @@
+#include "transport/platform_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "transport/raw_socket_test.h"
+
+namespace vanillafall {
+namespace {
+
+// Records the last value and how many answers there were.
+class Values final : public PlatformClient::Listener {
+ public:
+  void OnPlatformValue(const std::string& /*name*/,
+                       std::optional<PlatformClient::Value> value,
+                       bool /*is_reached*/) override {
+    const std::lock_guard lock(mutex_);
+    last_ = std::move(value);
+    ++count_;
+  }
+  // The value of the first answer; nothing when it had none.
+  std::optional<PlatformClient::Value> WaitForFirst() {
+    REQUIRE(Eventually([this] {
+      const std::lock_guard lock(mutex_);
+      return count_ > 0;
+    }));
+    const std::lock_guard lock(mutex_);
+    return last_;
+  }
+
+ private:
+  std::mutex mutex_;
+  int count_ = 0;
+  std::optional<PlatformClient::Value> last_;
+};
+
+std::optional<PlatformClient::Value> ReadFrom(const std::string& bytes) {
+  RawServer platform([&bytes](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(bytes);
+  });
+  Values values;
+  PlatformClient client(platform.address(), values);
+  client.Start();
+  REQUIRE(client.Read("manifest"));
+  return values.WaitForFirst();
+}
+
+TEST_CASE("a value is read with its revision", "[platform_client]") {
+  const auto value = ReadFrom(
+      "HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 4\r\n\r\ntext");
+  REQUIRE(value);
+  CHECK(value->revision == 7);
+  CHECK(value->body == "text");
+}
+
+TEST_CASE("an answer that is broken off in its head gives no value",
+          "[platform_client]") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t length = 1; length < head.size(); ++length) {
+    CAPTURE(length);
+    CHECK_FALSE(ReadFrom(head.substr(0, length)));
+  }
+}
+
+}  // namespace
+}  // namespace vanillafall
--- a/tools/http_caller.cc
+++ b/tools/http_caller.cc
@@ -9,6 +9,7 @@
 struct Transfer {
   HttpResponse response;
   int send_count = 0;
+  bool is_head_complete = false;
 };
 
 // Aborts when libcurl is about to send the request a second time, which it does
@@ -25,6 +26,7 @@
                      void* context) {
   auto* transfer = static_cast<Transfer*>(context);
   const std::string_view line(data, size * count);
+  transfer->is_head_complete = IsHeadComplete(line, transfer->is_head_complete);
   const std::size_t colon = line.find(": ");
   const std::size_t end = line.find_last_not_of("\r\n");
   if (colon != std::string_view::npos && end != std::string_view::npos) {
@@ -89,7 +91,7 @@
   const CURLcode code = curl_easy_perform(easy_);
   curl_slist_free_all(headers);
   Result result;
-  if (code == CURLE_OK) {
+  if (code == CURLE_OK && transfer.is_head_complete) {
     long status = 0;
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
     transfer.response.status = static_cast<int>(status);
