Take late in a drain only what ends before the daemon, and answer what is open at its end

Reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer, among them such as may not be repeated (LOST).

It could happen here: a daemon that a slow request kept from ending took everything that came meanwhile, on kept and on new connections, and closed all connections 0.3 s before it would have been killed.

Class: work accepted without checking that there is time for it.

Change: in the second half of the drain a request is taken only if its time limit is over before the daemon ends; others are refused at once as not run, with the time until the next process can serve as Retry-After. Requests that are open 0.3 s before the daemon would be killed are answered as unknown, or as not run where nothing runs, in place of a close.

Fleets with service files refuse requests on kept connections from the start of the drain ('a drain answers open requests and takes no new connection'); nothing was changed there.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -104,6 +104,11 @@
   DeliverPendingMessages(now);
 }
 
+void Dispatcher::EndRequests(TimePoint now) {
+  entry_.EndRequests(now);
+  DeliverPendingMessages(now);
+}
+
 void Dispatcher::Advance(TimePoint now) {
   owner_.Advance(now);
   entry_.Advance(random_, now);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -58,8 +58,14 @@
   void OnEntryMessage(LinkId link, LinkMessage message, TimePoint now);
   void OnEntryLinkLost(LinkId link, TimePoint now);
   void OnBackendEnd(BackendCallEnd end, TimePoint now);
+  // The daemon has begun to stop; see RequestEntry::BeginDrain.
+  void BeginDrain(TimePoint limited_from, TimePoint end) {
+    entry_.BeginDrain(limited_from, end);
+  }
   // From now on the owner denies all offers.
-  void BeginStop() { owner_.SetStopping(); }
+  void StopOwner() { owner_.SetStopping(); }
+  // Answers all requests of this instance's callers with what is known of them.
+  void EndRequests(TimePoint now);
   // Handles all timeouts that are due.
   void Advance(TimePoint now);
 
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -103,25 +103,35 @@
     Refuse(request, Reason::kCrashSuspect);
     return;
   }
-  const RequestId id = request.id;
-  PendingRequest& pending = pending_[id];
   milliseconds time_left = request.time_left.value_or(kDefaultTimeLeft);
   if (route->timeout > milliseconds(0)) {
     time_left = std::min(time_left, route->timeout);
   }
+  const TimePoint deadline = now - request.age + time_left;
+  if (now >= limited_from_ && deadline + kDeadlineGrace > drain_end_) {
+    // The next process of this daemon can take it.
+    Refuse(request, Reason::kDraining,
+           std::max(kMinRetryAfter,
+                    duration_cast<milliseconds>(drain_end_ - now)));
+    return;
+  }
+  const RequestId id = request.id;
+  PendingRequest& pending = pending_[id];
   pending.entry_request = std::move(request);
   pending.route = route;
   pending.service = route->DrawService(random);
   pending.fingerprint = fingerprint;
   pending.arrived = now - pending.entry_request.age;
-  pending.deadline = pending.arrived + time_left;
+  pending.deadline = deadline;
   RetryBudget& budget = BudgetOf(pending.service);
   budget.OnFirstTry(now);
   budget.Charge(pending.entry_request.repeat_share, now);
   Search(pending, random, now);
 }
 
-void RequestEntry::Refuse(const EntryRequest& request, Reason reason) {
+void RequestEntry::Refuse(const EntryRequest& request,
+                          Reason reason,
+                          milliseconds retry_after) {
   delegate_.Log({LogEventId::kRequestAnswered,
                  request.request_id,
                  ToString(reason),
@@ -129,7 +139,12 @@
                   {"host", request.host},
                   {"target", request.request.target},
                   {"config", std::to_string(table_ ? table_->version() : 0)}}});
-  delegate_.AnswerCaller({request.id, Outcome::kNotRun, reason});
+  CallerAnswer answer;
+  answer.id = request.id;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = reason;
+  answer.retry_after = retry_after;
+  delegate_.AnswerCaller(std::move(answer));
 }
 
 void RequestEntry::Search(PendingRequest& pending,
@@ -666,6 +681,24 @@
   }
 }
 
+void RequestEntry::BeginDrain(TimePoint limited_from, TimePoint end) {
+  limited_from_ = limited_from;
+  drain_end_ = end;
+}
+
+void RequestEntry::EndRequests(TimePoint now) {
+  while (!pending_.empty()) {
+    PendingRequest& pending = pending_.begin()->second;
+    if (pending.failure && pending.failure->end == RunEnd::kAnswered) {
+      FinishWithoutSuccess(pending, now);
+      continue;
+    }
+    const bool may_have_run = pending.may_have_run || IsRunning(pending);
+    Finish(pending, may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+           Reason::kDraining, {}, now);
+  }
+}
+
 void RequestEntry::Advance(Random& random, TimePoint now) {
   std::vector<RequestId> due;
   for (const auto& [id, pending] : pending_) {
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -80,6 +80,12 @@
   // Called for each message from the owner: the link to it works.
   void OnMessageReceived(const PeerAddress& owner, TimePoint now);
   void OnLinkLost(const PeerAddress& owner, Random& random, TimePoint now);
+  // The daemon has begun to stop and ends at `end`. From `limited_from` on,
+  // requests whose time limit is not over by then are refused.
+  void BeginDrain(TimePoint limited_from, TimePoint end);
+  // Answers all requests with what is known of them: those that may have run
+  // as unknown, the others as not run.
+  void EndRequests(TimePoint now);
   // Handles all timeouts that are due.
   void Advance(Random& random, TimePoint now);
 
@@ -172,7 +178,9 @@
 
   using PendingMap = std::map<RequestId, PendingRequest>;
 
-  void Refuse(const EntryRequest& request, Reason reason);
+  void Refuse(const EntryRequest& request,
+              Reason reason,
+              std::chrono::milliseconds retry_after = {});
   // Continues the search for a slot; answers the caller when no owner is left.
   void Search(PendingRequest& pending, Random& random, TimePoint now);
   // Offers the request to the next owner that may have a free slot. Returns
@@ -258,6 +266,9 @@
   ServerDirectory& directory_;
   CrashGuard& crash_guard_;
   RouteTablePtr table_;
+  // See BeginDrain.
+  TimePoint limited_from_ = TimePoint::max();
+  TimePoint drain_end_ = TimePoint::max();
   PendingMap pending_;
   std::map<OfferId, RequestId> request_by_offer_;
   std::map<std::string, RetryBudget> budgets_;
--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -465,6 +465,38 @@
   CHECK(f.offers() == 1);
 }
 
+TEST_CASE("late in a drain only requests that end before the daemon are taken",
+          "[entry]") {
+  Fixture f;
+  f.entry.BeginDrain(f.now + seconds(3), f.now + milliseconds(4000));
+  f.now += milliseconds(2900);
+  f.Request("/book/1");
+  CHECK(f.offers() == 1);
+  f.now += milliseconds(100);
+  f.Request("/book/2", milliseconds(900));
+  CHECK(f.offers() == 2);
+  f.Request("/book/3", milliseconds(1100));
+  CHECK(f.offers() == 2);
+  REQUIRE(f.delegate.answers.size() == 1);
+  CHECK(f.delegate.answers[0].outcome == Outcome::kNotRun);
+  CHECK(f.delegate.answers[0].reason == Reason::kDraining);
+  CHECK(f.delegate.answers[0].retry_after == milliseconds(1000));
+}
+
+TEST_CASE("at the end of a drain each request is answered as what is known",
+          "[entry]") {
+  Fixture f;
+  f.Request("/book/1");
+  f.GrantLastOffer();
+  f.Request("/book/2");
+  f.entry.EndRequests(f.now);
+  REQUIRE(f.delegate.answers.size() == 2);
+  CHECK(f.delegate.answers[0].outcome == Outcome::kUnknown);
+  CHECK(f.delegate.answers[1].outcome == Outcome::kNotRun);
+  CHECK(f.delegate.answers[1].reason == Reason::kDraining);
+  CHECK(f.entry.request_count() == 0);
+}
+
 // A repeat makes its calls again, which the budget of the called service can't
 // hold back.
 TEST_CASE("requests of one route earn no repeats for another route",
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -48,9 +48,14 @@
 // The owner stops granting this long after the start of the drain, so that all
 // granted work ends within the drain.
 constexpr milliseconds kGrantCutoff{1200};
-// The process exits this long before the drain timeout, after which it would be
-// killed.
-constexpr milliseconds kStopMargin{300};
+// Requests that are still open this long before the drain timeout, after which
+// the process would be killed, are answered with what is known of them.
+constexpr milliseconds kEndMargin{300};
+// The process exits this long before the drain timeout.
+constexpr milliseconds kStopMargin{200};
+// In the first part of the drain (1 / divisor) every request is taken, since
+// callers do not know of the drain yet and most requests end in time.
+constexpr int kOpenDrainDivisor = 2;
 
 std::uint64_t DrawRandomNumber() {
   std::random_device device;
@@ -254,6 +259,9 @@
   std::map<RequestId, OpenRequest> open_requests_;
   bool was_ready_ = false;
   std::optional<TimePoint> drain_began_;
+  // When the requests that are still open are answered with what is known.
+  TimePoint drain_end_;
+  bool is_drain_timed_out_ = false;
   bool is_owner_stopping_ = false;
   bool is_drained_ = false;
 };
@@ -624,20 +632,32 @@
        "",
        {{"unfinished", std::to_string(dispatcher_.unfinished_count())}}});
   caller_listener_.BeginStop();
+  const Duration time = settings_.drain_timeout;
+  drain_end_ = *drain_began_ + time - kEndMargin;
+  dispatcher_.BeginDrain(*drain_began_ + time / kOpenDrainDivisor, drain_end_);
   CheckDrain();
 }
 
 void ProxyDaemon::Impl::CheckDrain() {
-  const Duration elapsed = clock_.now() - *drain_began_;
+  const TimePoint now = clock_.now();
+  const Duration elapsed = now - *drain_began_;
   if (elapsed >= kGrantCutoff && !is_owner_stopping_) {
     is_owner_stopping_ = true;
-    dispatcher_.BeginStop();
+    dispatcher_.StopOwner();
   }
   const bool is_idle =
       dispatcher_.unfinished_count() == 0 && caller_listener_.busy_count() == 0;
-  const bool is_over = elapsed >= settings_.drain_timeout - kStopMargin;
-  if ((is_idle && elapsed >= kMinDrainTime) || is_over) {
-    is_drained_ = is_idle;
+  if (is_idle && elapsed >= kMinDrainTime && !is_drain_timed_out_) {
+    is_drained_ = true;
+    StopAll();
+    return;
+  }
+  if (now >= drain_end_ && !is_drain_timed_out_) {
+    is_drain_timed_out_ = true;
+    dispatcher_.EndRequests(now);
+  }
+  // Until then the last answers are sent.
+  if (now >= drain_end_ + (kEndMargin - kStopMargin)) {
     StopAll();
     return;
   }
