Run a repeat only where the services that it calls can take its calls as repeats

Callers saw nothing at first hand; servers in trouble got too many repeats.

Cause: a limit at the wrong place. A repeat makes its calls again, and they count as repeats at the called service. Nothing held the calls back.

Change: a call ends no later than the run that makes it, so a request that ends later than all runs here is no call, and any other may be the call of each run that lasts as long. A request that may be the call of a repeat is charged in full. The owner, whose daemon all these calls pass, grants a repeat only while each service that its server may call has a repeat left for it and for each repeat that runs there. The entry asks the next owner otherwise, or returns the failure it has.

Tests: 'calls made again by repeats stay within the called service's limit' failed first (200 calls, 41 allowed); 'a service that calls none may repeat' guards the other side. They replace the red case 'requests of one route earn no repeats for another route', which stood for this rule at one entry: routes may go on to share what their service may repeat, as long as the called services get no more than they may; the new test counts these calls themselves, with the same share and floor.

--- a/packages/decision/retry_budget.cc
+++ b/packages/decision/retry_budget.cc
@@ -14,9 +14,9 @@
   balance_ -= retries;
 }
 
-bool RetryBudget::HasRetry(TimePoint now) {
+bool RetryBudget::HasRetries(double retries, TimePoint now) {
   Decay(now);
-  return balance_ >= 1.0;
+  return balance_ >= retries;
 }
 
 bool RetryBudget::TryTake(TimePoint now) {
--- a/packages/decision/retry_budget.h
+++ b/packages/decision/retry_budget.h
@@ -32,8 +32,10 @@
   // have made up for it.
   void Charge(double retries, TimePoint now);
 
+  // Whether that many retries may be taken now.
+  bool HasRetries(double retries, TimePoint now);
   // Whether TryTake would succeed.
-  bool HasRetry(TimePoint now);
+  bool HasRetry(TimePoint now) { return HasRetries(1.0, now); }
 
   // Takes one retry and returns true, or returns false when none is left.
   bool TryTake(TimePoint now);
--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -46,6 +46,9 @@
 // A failure counts as fast before this fraction (1 / divisor) of the expected
 // processing time has passed.
 constexpr int kFastFailureDivisor = 5;
+// A backend server's call ends with the request that makes it at the latest. It
+// is read up to this long after it was sent, and seems to end as much later.
+constexpr milliseconds kCallDelay{50};
 // Answers with at least this HTTP status are failures of the backend server.
 constexpr int kFirstFailureStatus = 500;
 
@@ -133,6 +136,9 @@
   if (now < down_until_) {
     return DenyReason::kDown;
   }
+  if (offer.is_repeat && !accepts_repeats_) {
+    return DenyReason::kRepeatLimit;
+  }
   switch (crash_guard_.Check(offer.fingerprint, now)) {
     case CrashGuard::Verdict::kRefuse:
       return DenyReason::kCrashSuspect;
@@ -224,6 +230,7 @@
   open.request_id = run.request_id;
   open.is_repeat = run.is_repeat;
   open.started = now;
+  open.deadline = now + run.time_left;
   open.slow_at =
       now + std::max<Duration>(kMinSlowTime,
                                kSlowMultiple * ExpectedWork(offer.route));
@@ -535,13 +542,28 @@
   return next == TimePoint::max() ? std::nullopt : std::optional(next);
 }
 
-double BackendOwner::RepeatShare() const {
-  const auto repeats =
+CallOrigin BackendOwner::OriginOfCall(TimePoint deadline) const {
+  CallOrigin origin = CallOrigin::kNoRun;
+  for (const auto& [call, run] : runs_) {
+    if (run.deadline + kCallDelay < deadline) {
+      continue;
+    }
+    if (run.is_repeat) {
+      return CallOrigin::kRepeat;
+    }
+    origin = CallOrigin::kFirstRun;
+  }
+  return origin;
+}
+
+std::size_t BackendOwner::repeat_count() const {
+  const auto running =
       std::count_if(runs_.begin(), runs_.end(),
                     [](const auto& entry) { return entry.second.is_repeat; });
-  return runs_.empty()
-             ? 0
-             : static_cast<double>(repeats) / static_cast<double>(runs_.size());
+  const auto reserved = std::count_if(
+      reserved_.begin(), reserved_.end(),
+      [](const auto& entry) { return entry.second.offer.is_repeat; });
+  return static_cast<std::size_t>(running + reserved);
 }
 
 std::vector<CrashNotice> BackendOwner::TakeCrashNotices() {
--- a/packages/dispatch/backend_owner.h
+++ b/packages/dispatch/backend_owner.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "decision/crash_guard.h"
+#include "dispatch/call_origin.h"
 #include "dispatch/dispatch_delegate.h"
 #include "dispatch/health_filter.h"
 #include "dispatch/rate_limit.h"
@@ -53,9 +54,13 @@
   std::optional<TimePoint> NextWake() const;
   // Number of requests that run, and of slots reserved for granted offers.
   std::size_t busy_count() const { return runs_.size() + reserved_.size(); }
-  // Share of the requests running on the backend server that are repeats; 0
-  // when none runs. The calls that a repeat makes are repeats too.
-  double RepeatShare() const;
+  // Which running request may have made a request as its call, whose time is
+  // over at `deadline`.
+  CallOrigin OriginOfCall(TimePoint deadline) const;
+  // Repeats that run or have a slot reserved.
+  std::size_t repeat_count() const;
+  // Whether offers of repeats may be granted.
+  void SetAcceptsRepeats(bool accepts) { accepts_repeats_ = accepts; }
   // Returns the notices of crashes since the last call, to be sent to the other
   // daemons.
   std::vector<CrashNotice> TakeCrashNotices();
@@ -82,6 +87,8 @@
     ServerProcess process;
     std::string request_id;
     TimePoint started;
+    // When the caller's time is over.
+    TimePoint deadline;
     // When the run is cancelled because its entry did not resume it.
     TimePoint abandon_at = TimePoint::max();
     // When the run next counts as slow.
@@ -150,6 +157,7 @@
   // The process last listed here, also while none is.
   ServerProcess last_process_;
   bool is_stopping_ = false;
+  bool accepts_repeats_ = true;
   // last_process_ has said in an answer that it is leaving; it will not come
   // back.
   bool has_announced_leaving_ = false;
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -65,7 +65,9 @@
 void Dispatcher::OnCallerRequest(EntryRequest request, TimePoint now) {
   // The calls of this instance's backend server arrive here as well, and can't
   // be told from the requests of other callers.
-  request.repeat_share = owner_.RepeatShare();
+  const TimePoint deadline =
+      request.time_left ? now - request.age + *request.time_left : now;
+  request.call_origin = owner_.OriginOfCall(deadline);
   entry_.OnRequest(std::move(request), random_, now);
   DeliverPendingMessages(now);
 }
@@ -100,6 +102,7 @@
 }
 
 void Dispatcher::OnBackendEnd(BackendCallEnd end, TimePoint now) {
+  LimitRepeats(now);
   owner_.OnBackendEnd(std::move(end), now);
   DeliverPendingMessages(now);
 }
@@ -110,6 +113,7 @@
 }
 
 void Dispatcher::Advance(TimePoint now) {
+  LimitRepeats(now);
   owner_.Advance(now);
   entry_.Advance(random_, now);
   DeliverPendingMessages(now);
@@ -141,6 +145,7 @@
       Overloaded{
           [&](Offer& offer) {
             request_config_if_newer(offer.config_version);
+            LimitRepeats(now);
             owner_.OnOffer(link, offer, now);
           },
           [&](Withdraw& withdraw) { owner_.OnWithdraw(withdraw.id, now); },
@@ -189,6 +194,12 @@
       message);
 }
 
+void Dispatcher::LimitRepeats(TimePoint now) {
+  const auto& own = owner_.server();
+  owner_.SetAcceptsRepeats(entry_.MayCallAgain(own ? own->service : "",
+                                               owner_.repeat_count() + 1, now));
+}
+
 bool Dispatcher::ShouldRequestConfig(std::uint64_t version, TimePoint now) {
   const std::uint64_t own = table_ ? table_->version() : 0;
   if (version <= own || now < config_requested_at_ + kMinConfigRequestPeriod) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -112,6 +112,9 @@
   // Handles the messages that this daemon sent to itself, and sends crash
   // notices to the other daemons. Called at the end of each input.
   void DeliverPendingMessages(TimePoint now);
+  // Lets the owner grant repeats only while the services that the backend
+  // server may call can get their calls as repeats.
+  void LimitRepeats(TimePoint now);
   void HandleAsOwner(LinkId link, LinkMessage message, TimePoint now);
   void HandleAsEntry(const PeerAddress& owner,
                      LinkMessage message,
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -119,5 +119,88 @@
   CHECK(f.delegate.SentToOwners<CrashNotice>().size() == 2);
 }
 
+// A fleet whose own server "own" of service desk calls service billing.
+struct CallingFixture : Fixture {
+  CallingFixture() {
+    DispatchRoute desk;
+    desk.name = "desk";
+    desk.host = "a.example";
+    desk.prefix = "/desk/";
+    desk.services = {{"desk", 1}};
+    DispatchRoute billing = desk;
+    billing.name = "billing";
+    billing.prefix = "/billing/";
+    billing.services = {{"billing", 1}};
+    dispatcher.OnConfig(
+        std::make_shared<RouteTable>(
+            5, std::vector<DispatchRoute>{desk, billing}, CallerLimits{}),
+        "", now);
+    ListedServer called = Server("called", "10.0.0.2");
+    called.service = "billing";
+    dispatcher.OnServers({Server("own", "10.0.0.1"), called}, now);
+  }
+
+  // Offers a request of another daemon and runs it if that is granted: the
+  // server makes one call and fails. Returns whether it ran.
+  bool RunAndCall(bool is_repeat) {
+    Offer offer;
+    offer.id = {7, ++offers};
+    offer.server = "own";
+    offer.route = "desk";
+    offer.is_idempotent = true;
+    offer.is_repeat = is_repeat;
+    offer.accepts_suspect = true;
+    offer.time_left = seconds(2);
+    offer.fingerprint = {0, offers};
+    const std::size_t grants = delegate.SentToEntries<Grant>().size();
+    dispatcher.OnEntryMessage(3, offer, now);
+    if (delegate.SentToEntries<Grant>().size() == grants) {
+      return false;
+    }
+    Run run;
+    run.id = offer.id;
+    run.request_id = "id";
+    run.time_left = seconds(2);
+    run.is_repeat = is_repeat;
+    dispatcher.OnEntryMessage(3, run, now);
+    Request("/billing/");
+    BackendCallEnd end;
+    end.id = delegate.calls.back().id;
+    end.end = RunEnd::kAnswered;
+    end.has_arrived = true;
+    end.response.status = 500;
+    dispatcher.OnBackendEnd(std::move(end), now);
+    now += milliseconds(50);
+    return true;
+  }
+
+  std::uint64_t offers = 0;
+};
+
+TEST_CASE("calls made again by repeats stay within the called service's limit",
+          "[dispatcher]") {
+  CallingFixture f;
+  constexpr int kFirstRuns = 200;
+  int calls_of_repeats = 0;
+  for (int i = 0; i < kFirstRuns; ++i) {
+    REQUIRE(f.RunAndCall(false));
+    calls_of_repeats += f.RunAndCall(true) ? 1 : 0;
+  }
+  // What the fleet may repeat, and what an entry may always repeat.
+  constexpr double kFleetShare = 0.2;
+  constexpr int kAlwaysAllowed = 1;
+  CHECK(calls_of_repeats <= kAlwaysAllowed + kFleetShare * kFirstRuns);
+  CHECK(calls_of_repeats > 0);
+}
+
+TEST_CASE("a service that calls none may repeat", "[dispatcher]") {
+  CallingFixture f;
+  for (int i = 0; i < 20; ++i) {
+    // Callers wait longer than any running request, so theirs are no calls.
+    f.Request("/billing/");
+  }
+  CHECK(f.RunAndCall(true));
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/dispatch/link_message.cc
+++ b/packages/dispatch/link_message.cc
@@ -18,6 +18,8 @@
       return "too-late";
     case DenyReason::kCrashSuspect:
       return "crash-suspect";
+    case DenyReason::kRepeatLimit:
+      return "repeat-limit";
   }
   return "unknown";
 }
--- a/packages/dispatch/link_message.h
+++ b/packages/dispatch/link_message.h
@@ -51,6 +51,8 @@
   // 0 is the most urgent.
   std::uint32_t priority = 0;
   bool is_idempotent = false;
+  // The request may have run before, so its calls may be repeats.
+  bool is_repeat = false;
   // The owner may queue the offer until a slot is free, unless the expected
   // wait is longer than the maximum.
   bool may_wait = false;
@@ -94,6 +96,9 @@
   kTooLate,
   // The request is suspected of crashing backend servers.
   kCrashSuspect,
+  // The calls that a repeat makes again would exceed what the called services
+  // may get in repeats.
+  kRepeatLimit,
 };
 
 const char* ToString(DenyReason reason);
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -125,7 +125,13 @@
   pending.deadline = deadline;
   RetryBudget& budget = BudgetOf(pending.service);
   budget.OnFirstTry(now);
-  budget.Charge(pending.entry_request.repeat_share, now);
+  const CallOrigin origin = pending.entry_request.call_origin;
+  if (origin != CallOrigin::kNoRun) {
+    called_services_.insert(pending.service);
+  }
+  if (origin == CallOrigin::kRepeat) {
+    budget.Charge(1, now);
+  }
   Search(pending, random, now);
 }
 
@@ -293,6 +299,7 @@
   offer.route = pending.route->name;
   offer.priority = pending.route->priority;
   offer.is_idempotent = pending.route->is_idempotent;
+  offer.is_repeat = pending.runs > 0;
   offer.may_wait = terms.may_wait;
   offer.copies = terms.may_wait ? kMaxQueuedOffers : 1;
   SetMaxWait(pending, now, &offer);
@@ -567,19 +574,18 @@
     answer.retry_after =
         std::max(kMinRetryAfter, pending.min_wait.value_or(kMinRetryAfter));
   }
-  delegate_.Log(
-      {LogEventId::kRequestAnswered,
-       pending.entry_request.request_id,
-       ToString(reason),
-       {{"outcome", ToString(outcome)},
-        {"status", std::to_string(answer.response.status)},
-        {"service", pending.service},
-        {"route", pending.route->name},
-        {"config", std::to_string(table_->version())},
-        {"took_ms", std::to_string(took.count())},
-        {"left_ms", std::to_string(left.count())},
-        {"repeat_share", std::to_string(pending.entry_request.repeat_share)},
-        {"tries", pending.history}}});
+  delegate_.Log({LogEventId::kRequestAnswered,
+                 pending.entry_request.request_id,
+                 ToString(reason),
+                 {{"outcome", ToString(outcome)},
+                  {"status", std::to_string(answer.response.status)},
+                  {"service", pending.service},
+                  {"route", pending.route->name},
+                  {"config", std::to_string(table_->version())},
+                  {"took_ms", std::to_string(took.count())},
+                  {"left_ms", std::to_string(left.count())},
+                  {"call", ToString(pending.entry_request.call_origin)},
+                  {"tries", pending.history}}});
   const RequestId id = pending.entry_request.id;
   delegate_.AnswerCaller(std::move(answer));
   pending_.erase(id);
@@ -812,6 +818,17 @@
   return next;
 }
 
+bool RequestEntry::MayCallAgain(const std::string& own_service,
+                                std::size_t repeats,
+                                TimePoint now) {
+  return std::all_of(called_services_.begin(), called_services_.end(),
+                     [&](const std::string& service) {
+                       return service == own_service ||
+                              BudgetOf(service).HasRetries(
+                                  static_cast<double>(repeats), now);
+                     });
+}
+
 RetryBudget& RequestEntry::BudgetOf(const std::string& service) {
   return budgets_.try_emplace(service, kRetryShare, kRetryFloor).first->second;
 }
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "decision/crash_guard.h"
 #include "decision/retry_budget.h"
+#include "dispatch/call_origin.h"
 #include "dispatch/dispatch_delegate.h"
 #include "dispatch/route_table.h"
 #include "dispatch/server_directory.h"
@@ -33,9 +34,8 @@
   std::optional<std::chrono::milliseconds> time_left;
   // Time since the first byte of the request arrived.
   std::chrono::milliseconds age{0};
-  // Probability that the request is a call that a repeated run made. Such a
-  // call counts as a repeat.
-  double repeat_share = 0;
+  // Whether the request may be a call of this instance's backend server.
+  CallOrigin call_origin = CallOrigin::kNoRun;
 };
 
 // Handles the requests of this instance's callers. For each request it finds
@@ -91,6 +91,12 @@
 
   // The time at which Advance has something to do.
   std::optional<TimePoint> NextWake() const;
+  // Whether each service that this instance's backend server may call can get
+  // this many repeats more. `own_service` is not counted: its own limit bounds
+  // the repeats that run here.
+  bool MayCallAgain(const std::string& own_service,
+                    std::size_t repeats,
+                    TimePoint now);
   // Number of requests that are not answered yet.
   std::size_t request_count() const { return pending_.size(); }
 
@@ -272,6 +278,8 @@
   PendingMap pending_;
   std::map<OfferId, RequestId> request_by_offer_;
   std::map<std::string, RetryBudget> budgets_;
+  // Services that this instance's backend server may have called.
+  std::set<std::string> called_services_;
   std::map<std::string, ServiceRecord> records_;
   std::map<PeerAddress, OwnerLink> links_;
   WorkEstimate work_;
--- a/packages/dispatch/request_entry_test.cc
+++ b/packages/dispatch/request_entry_test.cc
@@ -412,7 +412,7 @@
     call.request.method = "GET";
     call.request.target = "/look/1";
     call.time_left = seconds(2);
-    call.repeat_share = 1;
+    call.call_origin = CallOrigin::kRepeat;
     f.entry.OnRequest(std::move(call), f.random, f.now);
     f.GrantLastOffer();
     f.EndLastRun(RunEnd::kAnswered, 200);
@@ -497,36 +497,6 @@
   CHECK(f.entry.request_count() == 0);
 }
 
-// A repeat makes its calls again, which the budget of the called service can't
-// hold back.
-TEST_CASE("requests of one route earn no repeats for another route",
-          "[.red_calls]") {
-  Fixture f;
-  constexpr int kBookings = 100;
-  for (int i = 0; i < kBookings; ++i) {
-    f.Request("/book/1");
-    f.GrantLastOffer();
-    f.EndLastRun(RunEnd::kAnswered, 200);
-  }
-  constexpr int kLookups = 20;
-  int repeats = 0;
-  for (int i = 0; i < kLookups; ++i) {
-    f.delegate.answers.clear();
-    f.Request("/look/1");
-    f.GrantLastOffer();
-    f.EndLastRun(RunEnd::kAnswered, 500);
-    if (f.delegate.answers.empty()) {
-      ++repeats;
-      f.GrantLastOffer();
-      f.EndLastRun(RunEnd::kAnswered, 200);
-    }
-  }
-  // The fixture made as many lookups before. The fleet may repeat a fifth.
-  constexpr double kFleetShare = 0.2;
-  constexpr int kAlwaysAllowed = 1;
-  CHECK(repeats <= kAlwaysAllowed + kFleetShare * 2 * kLookups);
-}
-
 TEST_CASE("a second run is marked as a repeat", "[entry]") {
   Fixture f;
   f.Request("/look/1");
--- a/packages/proxy/link.capnp
+++ b/packages/proxy/link.capnp
@@ -38,6 +38,7 @@
   patienceMs @11 :UInt32;
   isLate @12 :Bool;
   mayTest @13 :Bool;
+  isRepeat @14 :Bool;
 }
 
 struct Grant { id @0 :Id; load @1 :Load; configVersion @2 :UInt64; }
--- a/packages/proxy/link_codec.cc
+++ b/packages/proxy/link_codec.cc
@@ -132,6 +132,7 @@
   builder.setCopies(Saturated<std::uint8_t>(offer.copies));
   builder.setPatienceMs(Saturated<std::uint32_t>(offer.max_wait.count()));
   builder.setIsLate(offer.is_late);
+  builder.setIsRepeat(offer.is_repeat);
   builder.setAcceptsSuspect(offer.accepts_suspect);
   builder.setMayTest(offer.may_test);
   builder.setTimeLeftMs(Saturated<std::uint32_t>(offer.time_left.count()));
@@ -150,6 +151,7 @@
   offer.copies = in.getCopies();
   offer.max_wait = milliseconds(in.getPatienceMs());
   offer.is_late = in.getIsLate();
+  offer.is_repeat = in.getIsRepeat();
   offer.accepts_suspect = in.getAcceptsSuspect();
   offer.may_test = in.getMayTest();
   offer.time_left = milliseconds(in.getTimeLeftMs());
@@ -179,7 +181,7 @@
 
 Deny Decode(link::Deny::Reader in) {
   return {Decode(in.getId()),
-          CheckedEnum(in.getReason(), DenyReason::kCrashSuspect),
+          CheckedEnum(in.getReason(), DenyReason::kRepeatLimit),
           Decode(in.getLoad()), in.getConfigVersion()};
 }
 
