Let a service that is no longer called limit no repeats

Callers saw nothing; found on reading again. A budget only grows with requests, so once the calls of an instance's backend server had used up the budget of a service and the calls then ended, no repeat would have run there any more.

Change: only services that may have been called in the last 10 s count.

Test seen to fail first: 'a service that is no longer called limits no repeats'.

--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -193,6 +193,16 @@
   CHECK(calls_of_repeats > 0);
 }
 
+TEST_CASE("a service that is no longer called limits no repeats",
+          "[dispatcher]") {
+  CallingFixture f;
+  while (f.RunAndCall(true)) {
+  }
+  CHECK_FALSE(f.RunAndCall(true));
+  f.now += seconds(11);
+  CHECK(f.RunAndCall(true));
+}
+
 TEST_CASE("a service that calls none may repeat", "[dispatcher]") {
   CallingFixture f;
   for (int i = 0; i < 20; ++i) {
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -56,6 +56,9 @@
 // Time limit for requests whose callers specify none.
 constexpr milliseconds kDefaultTimeLeft{10'000};
 constexpr milliseconds kMinRetryAfter{40};
+// A service that this instance's backend server has not called for this time
+// does not limit the repeats that run here. Its budget no longer grows then.
+constexpr std::chrono::seconds kCallMemory{10};
 // Answers with at least this HTTP status are failures of the backend server.
 constexpr int kFirstFailureStatus = 500;
 // Entries are added to the history in a request's log line only while it is
@@ -127,7 +130,7 @@
   budget.OnFirstTry(now);
   const CallOrigin origin = pending.entry_request.call_origin;
   if (origin != CallOrigin::kNoRun) {
-    called_services_.insert(pending.service);
+    called_at_[pending.service] = now;
   }
   if (origin == CallOrigin::kRepeat) {
     budget.Charge(1, now);
@@ -821,12 +824,12 @@
 bool RequestEntry::MayCallAgain(const std::string& own_service,
                                 std::size_t repeats,
                                 TimePoint now) {
-  return std::all_of(called_services_.begin(), called_services_.end(),
-                     [&](const std::string& service) {
-                       return service == own_service ||
-                              BudgetOf(service).HasRetries(
-                                  static_cast<double>(repeats), now);
-                     });
+  return std::all_of(
+      called_at_.begin(), called_at_.end(), [&](const auto& entry) {
+        const auto& [service, called_at] = entry;
+        return service == own_service || now >= called_at + kCallMemory ||
+               BudgetOf(service).HasRetries(static_cast<double>(repeats), now);
+      });
 }
 
 RetryBudget& RequestEntry::BudgetOf(const std::string& service) {
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -91,9 +91,9 @@
 
   // The time at which Advance has something to do.
   std::optional<TimePoint> NextWake() const;
-  // Whether each service that this instance's backend server may call can get
-  // this many repeats more. `own_service` is not counted: its own limit bounds
-  // the repeats that run here.
+  // Whether each service that this instance's backend server may have called
+  // lately can get this many repeats more. `own_service` is not counted: its
+  // own limit bounds the repeats that run here.
   bool MayCallAgain(const std::string& own_service,
                     std::size_t repeats,
                     TimePoint now);
@@ -278,8 +278,8 @@
   PendingMap pending_;
   std::map<OfferId, RequestId> request_by_offer_;
   std::map<std::string, RetryBudget> budgets_;
-  // Services that this instance's backend server may have called.
-  std::set<std::string> called_services_;
+  // When this instance's backend server may last have called a service.
+  std::map<std::string, TimePoint> called_at_;
   std::map<std::string, ServiceRecord> records_;
   std::map<PeerAddress, OwnerLink> links_;
   WorkEstimate work_;
