Report a drain that is shorter than its shortest time as complete when it is idle

Operators would have seen 'drain timed out' and the exit code for cut requests after a stop that cut none, with a drain_timeout below 2.9 s. Since the end of the drain counted as timed out without a look at whether anything was open.

--- a/packages/dispatch/backend_owner.h
+++ b/packages/dispatch/backend_owner.h
@@ -54,8 +54,8 @@
   std::optional<TimePoint> NextWake() const;
   // Number of requests that run, and of slots reserved for granted offers.
   std::size_t busy_count() const { return runs_.size() + reserved_.size(); }
-  // Which running request may have made a request as its call, whose time is
-  // over at `deadline`.
+  // Which runs may have made a request as their call, given that the time of
+  // its caller is over at `deadline`.
   CallOrigin OriginOfCall(TimePoint deadline) const;
   // Repeats that run or have a slot reserved.
   std::size_t repeat_count() const;
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -647,12 +647,13 @@
   }
   const bool is_idle =
       dispatcher_.unfinished_count() == 0 && caller_listener_.busy_count() == 0;
-  if (is_idle && elapsed >= kMinDrainTime && !is_drain_timed_out_) {
-    is_drained_ = true;
+  const bool is_over = now >= drain_end_;
+  if (is_idle && (is_over || elapsed >= kMinDrainTime)) {
+    is_drained_ = !is_drain_timed_out_;
     StopAll();
     return;
   }
-  if (now >= drain_end_ && !is_drain_timed_out_) {
+  if (is_over && !is_drain_timed_out_) {
     is_drain_timed_out_ = true;
     dispatcher_.EndRequests(now);
   }
