Report a store that comes back in a later era

Nothing in the log told a restored store from one that had only been away: the header Store-Era was not read. No decision follows from it yet.

--- a/packages/base/log_event.cc
+++ b/packages/base/log_event.cc
@@ -37,6 +37,8 @@
     LogEventInfo{Id::kListingIgnored, Severity::kWarning, "listing-ignored"},
     LogEventInfo{Id::kPlatformCallFailed, Severity::kInfo,
                  "platform-call-failed"},
+    LogEventInfo{Id::kPlatformRestored, Severity::kWarning,
+                 "platform-restored"},
     LogEventInfo{Id::kRequestRefused, Severity::kInfo, "request-refused"},
     LogEventInfo{Id::kRequestUnknown, Severity::kWarning, "request-unknown"},
     LogEventInfo{Id::kMalformedPeerMessage, Severity::kWarning,
--- a/packages/base/log_event.h
+++ b/packages/base/log_event.h
@@ -32,6 +32,7 @@
   kServersListed = 206,
   kListingIgnored = 207,
   kPlatformCallFailed = 208,
+  kPlatformRestored = 209,
   kRequestRefused = 300,
   kRequestUnknown = 301,
   kMalformedPeerMessage = 302,
