--- /dev/null
+++ b/packages/dispatch/source_revision.h
@@ -0,0 +1,23 @@
+#ifndef DISPATCH_SOURCE_REVISION_H_
+#define DISPATCH_SOURCE_REVISION_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace vanillafall {
+
+// A revision of the source of configuration and backend servers. When the
+// source is restored from an older copy, a new era begins, in which it gives
+// out the same numbers again; so numbers compare within one era only.
+struct SourceRevision {
+  // 0 when the source names none.
+  std::uint64_t era = 0;
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const SourceRevision&,
+                          const SourceRevision&) = default;
+};
+
+}  // namespace vanillafall
+
+#endif  // DISPATCH_SOURCE_REVISION_H_
