Compare backend servers across a restore by what they say of themselves

Cause: an entry counted as newer, and a removal as remembered, by the store's revision alone. A restored store gives out the same revisions again, so a newer state lost against an older one, a server that had left could return from the copy, and one that the copy lacked was dropped at once.

Now a revision holds its era. Within an era revisions compare as before; across eras the process's start and its own sequence decide. A process that drains never becomes ready again. Servers that the copy lacks are kept for the 2.5 s that also follow an outage, and removals of a former era count for 10 s, within which the entry of a process that has ended expires. The server of this instance is the one that was started last. Versions of the configuration are the operator's own numbers and need no era; a test says so.

--- a/packages/dispatch/backend_owner.cc
+++ b/packages/dispatch/backend_owner.cc
@@ -84,13 +84,14 @@
     down_until_ = {};
   }
   if (former != current || was_draining != is_draining) {
-    delegate_.Log({LogEventId::kOwnServerChanged,
-                   current.empty() ? former : current,
-                   current.empty() ? "no longer listed"
-                                   : (is_draining ? "draining" : "ready"),
-                   {{"former", former},
-                    {"revision", std::to_string(server ? server->revision : 0)},
-                    {"slots", std::to_string(queue_.slots())}}});
+    delegate_.Log(
+        {LogEventId::kOwnServerChanged,
+         current.empty() ? former : current,
+         current.empty() ? "no longer listed"
+                         : (is_draining ? "draining" : "ready"),
+         {{"former", former},
+          {"revision", std::to_string(server ? server->revision.number : 0)},
+          {"slots", std::to_string(queue_.slots())}}});
   }
   GrantFreeSlots(now);
 }
--- a/packages/dispatch/dispatch_emulator.cc
+++ b/packages/dispatch/dispatch_emulator.cc
@@ -48,7 +48,7 @@
     server.owner = Address(index_);
     server.data_centre = data_centre_;
     server.slots = fleet_.load_.slots;
-    server.revision = 1;
+    server.revision.number = 1;
     return server;
   }
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -12,6 +12,14 @@
 // one round trip.
 constexpr std::chrono::milliseconds kMinConfigRequestPeriod{100};
 
+// Which of two servers with one address was started there later. The list may
+// still contain the earlier one, or again after the source was restored.
+bool IsLaterProcess(const ListedServer& server, const ListedServer& other) {
+  return server.revision.era == other.revision.era
+             ? server.revision > other.revision
+             : server.started_at > other.started_at;
+}
+
 template <typename... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -54,7 +62,7 @@
   std::optional<ListedServer> own;
   for (const ListedServer& server : servers) {
     const bool is_own = server.address == identity_.backend_address;
-    if (is_own && (!own || server.revision > own->revision)) {
+    if (is_own && (!own || IsLaterProcess(server, *own))) {
       own = server;
     }
   }
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -30,7 +30,7 @@
   server.owner = host + ":7100";
   server.data_centre = "north";
   server.slots = 2;
-  server.revision = revision;
+  server.revision.number = revision;
   return server;
 }
 
@@ -212,5 +212,43 @@
   CHECK(f.RunAndCall(true));
 }
 
+TEST_CASE(
+    "a former server of this instance in a restored copy does not replace the "
+    "present one",
+    "[dispatcher]") {
+  Fixture f;
+  ListedServer former = Server("former", "10.0.0.1", 50);
+  former.revision.era = 2;
+  former.started_at = milliseconds(1000);
+  ListedServer present = Server("present", "10.0.0.1", 65);
+  present.revision.era = 1;
+  present.started_at = milliseconds(9000);
+  f.dispatcher.OnServers({former, present}, f.now);
+  REQUIRE(f.dispatcher.own_server());
+  CHECK(f.dispatcher.own_server()->id == "present");
+}
+
+TEST_CASE(
+    "a configuration does not go back while a restored source repeats former "
+    "ones",
+    "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(9, "/new/"), "read", f.now);
+  for (const std::uint64_t version : {4, 6, 9}) {
+    f.dispatcher.OnConfig(Table(version, "/old/"), "read", f.now);
+    f.dispatcher.OnConfig(Table(version, "/old/"), "another daemon", f.now);
+    CHECK(f.dispatcher.table()->version() == 9);
+    CHECK(f.dispatcher.MakeHello().config_version == 9);
+  }
+  // A daemon that has started since has only what the source lists.
+  Fixture fresh;
+  fresh.dispatcher.OnConfig(Table(4, "/old/"), "read", fresh.now);
+  fresh.dispatcher.OnEntryMessage(3, f.dispatcher.MakeHello(), fresh.now);
+  CHECK(fresh.delegate.SentToEntries<ConfigWanted>().size() == 1);
+  fresh.dispatcher.OnConfig(Table(9, "/new/"), "another daemon", fresh.now);
+  fresh.dispatcher.OnConfig(Table(6, "/old/"), "watch", fresh.now);
+  CHECK(fresh.dispatcher.table()->version() == 9);
+}
+
 }  // namespace
 }  // namespace vanillafall
--- a/packages/dispatch/server_directory.cc
+++ b/packages/dispatch/server_directory.cc
@@ -47,6 +47,14 @@
 // case that its registration has only expired.
 constexpr std::chrono::minutes kLeavingRetention{10};
 
+// Whether both are the same publication of a process. A restored source gives
+// it another revision.
+bool IsSamePublication(const ListedServer& a, const ListedServer& b) {
+  return a.process() == b.process() &&
+         (a.revision == b.revision ||
+          (a.sequence != 0 && a.sequence == b.sequence));
+}
+
 // Weight of a report by its age, from 1 down to 0.
 double DecayFactor(TimePoint reported_at, Seconds decay_time, TimePoint now) {
   return std::exp(-Seconds(now - reported_at) / decay_time);
@@ -65,7 +73,7 @@
     const auto known = former.find(listed.id);
     ServerState server = known == former.end() ? ServerState{} : known->second;
     if (known == former.end() ||
-        listed.revision != known->second.listed.revision) {
+        !IsSamePublication(listed, known->second.listed)) {
       server.warm_up_end = now + listed.warm_up_left;
     }
     server.listed = listed;
--- a/packages/dispatch/server_directory.h
+++ b/packages/dispatch/server_directory.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "dispatch/link_message.h"
+#include "dispatch/source_revision.h"
 
 namespace vanillafall {
 
@@ -39,9 +40,11 @@
   // How much longer the server stays slow after its start, counted from the
   // time at which the list was read.
   std::chrono::milliseconds warm_up_left{0};
-  // Revision of the last change of this registration; the later of two
-  // registrations has the greater one.
-  std::uint64_t revision = 0;
+  // Revision of the last change of this registration.
+  SourceRevision revision;
+  // Counts what the process has published about itself; a later registration of
+  // the same process has a greater number. 0 when it is not published.
+  std::uint64_t sequence = 0;
   // Start of the process, since the Unix epoch. A different start under the
   // same id is another incarnation. 0 when it is not published.
   std::chrono::milliseconds started_at{0};
--- a/packages/dispatch/server_roster.h
+++ b/packages/dispatch/server_roster.h
@@ -18,21 +18,32 @@
 // missing shortly after an outage are kept for a while: their registrations may
 // have expired while the source could not be reached, and servers that still
 // run register again.
+//
+// A source that was restored from a copy begins a new era: registrations and
+// removals that the copy lacks are lost until they are made again. Shortly
+// after a restore, a registration from the copy therefore counts only if its
+// process has not published a later one or been removed since. A process that
+// drains never becomes ready again.
 class ServerRoster {
  public:
   // Time after an outage during which missing servers are kept, so that they
   // can register again.
   static constexpr std::chrono::milliseconds kReregistrationTime{2500};
+  // Time after a restore during which a removal of a former era is remembered.
+  // The registration of a process that has ended expires within this time.
+  static constexpr std::chrono::milliseconds kRestoredRemovalTime{10'000};
 
   // Whether the source of lists and changes answers.
   void SetSourceReachable(bool is_reachable, TimePoint now);
+  // The source was restored from a copy; what it lists next is of a new era.
+  void OnSourceRestored(TimePoint now);
   // A whole list has arrived.
   void OnList(const std::vector<ListedServer>& listed, TimePoint now);
   // One server was added or has changed.
-  void UpdateServer(const ListedServer& server);
+  void UpdateServer(const ListedServer& server, TimePoint now);
   // One server was removed in this revision.
   void RemoveServer(const std::string& id,
-                    std::uint64_t revision,
+                    const SourceRevision& revision,
                     TimePoint now);
 
   // Drops the servers that are still missing kReregistrationTime after an
@@ -44,25 +55,44 @@
   std::vector<ListedServer> servers() const;
 
  private:
+  // A removed server, as last known.
+  struct Removal {
+    SourceRevision revision;
+    TimePoint at;
+    std::chrono::milliseconds started_at{0};
+    std::uint64_t sequence = 0;
+  };
+
   // Maximum number of removals that are remembered; limits memory.
   static constexpr std::size_t kMaxRemoved = 4096;
 
-  void Remove(const std::string& id, std::uint64_t revision);
-  // False during an outage and shortly after it, when servers may be missing
-  // from the source although they run.
+  Removal MakeRemoval(const std::string& id,
+                      const SourceRevision& revision,
+                      TimePoint now) const;
+  void Remove(const std::string& id, const Removal& removal);
+  // Whether the registration is from before the removal.
+  bool IsBefore(const ListedServer& server,
+                const Removal& removal,
+                TimePoint now) const;
+  // Whether the registration is a later one than the known one.
+  bool IsLater(const ListedServer& server,
+               const ListedServer& known,
+               TimePoint now) const;
+  // False during an outage and shortly after it or after a restore, when
+  // servers may be missing from the source although they run.
   bool IsListReliable(TimePoint now) const {
-    return is_source_reachable_ &&
-           now >= reachable_since_ + kReregistrationTime;
+    return is_source_reachable_ && now >= unreliable_until_;
   }
 
   bool is_source_reachable_ = true;
-  TimePoint reachable_since_;
+  TimePoint unreliable_until_;
+  // Until when what was known before a restore takes precedence.
+  TimePoint copy_doubtful_until_;
   std::map<std::string, ListedServer> servers_;
-  // Servers that went missing during or shortly after an outage, with the
-  // revision of their removal, or 0 when they are only missing from a list.
-  std::map<std::string, std::uint64_t> missing_;
-  // Removed servers with the revision of their removal.
-  std::map<std::string, std::uint64_t> removed_;
+  // Servers that went missing during or shortly after an outage or a restore,
+  // with their removal, or nothing when they are only missing from a list.
+  std::map<std::string, std::optional<Removal>> missing_;
+  std::map<std::string, Removal> removed_;
 };
 
 }  // namespace vanillafall
--- a/packages/proxy/fleet_source.h
+++ b/packages/proxy/fleet_source.h
@@ -9,6 +9,7 @@
 #include "dispatch/link_message.h"
 #include "dispatch/route_table.h"
 #include "dispatch/server_directory.h"
+#include "dispatch/source_revision.h"
 
 namespace vanillafall {
 
@@ -30,7 +31,10 @@
     virtual void OnServerChanged(ListedServer server) = 0;
     // The entry of the watched server was removed at this revision.
     virtual void OnServerRemoved(const std::string& id,
-                                 std::uint64_t revision) = 0;
+                                 const SourceRevision& revision) = 0;
+    // The source was restored from an older copy and has begun a new era. What
+    // it reports from now on belongs to that era.
+    virtual void OnSourceRestored() = 0;
     // The source has started or stopped answering; called only on a change.
     virtual void OnReachabilityChanged(bool is_reached) = 0;
     // An event of the source for the log.
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -209,7 +209,9 @@
                 const std::string& origin) override;
   void OnServers(std::vector<ListedServer> servers) override;
   void OnServerChanged(ListedServer server) override;
-  void OnServerRemoved(const std::string& id, std::uint64_t revision) override;
+  void OnServerRemoved(const std::string& id,
+                       const SourceRevision& revision) override;
+  void OnSourceRestored() override;
   void OnReachabilityChanged(bool is_reached) override;
   void OnSourceEvent(LogEvent event) override;
 
@@ -448,16 +450,20 @@
 }
 
 void ProxyDaemon::Impl::OnServerChanged(ListedServer server) {
-  roster_.UpdateServer(server);
+  roster_.UpdateServer(server, clock_.now());
   ApplyRoster();
 }
 
 void ProxyDaemon::Impl::OnServerRemoved(const std::string& id,
-                                        std::uint64_t revision) {
+                                        const SourceRevision& revision) {
   roster_.RemoveServer(id, revision, clock_.now());
   ApplyRoster();
 }
 
+void ProxyDaemon::Impl::OnSourceRestored() {
+  roster_.OnSourceRestored(clock_.now());
+}
+
 void ProxyDaemon::Impl::OnReachabilityChanged(bool is_reached) {
   roster_.SetSourceReachable(is_reached, clock_.now());
   Log({is_reached ? LogEventId::kPlatformReached
