--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,15 +3,15 @@
 # requests, and compares the outcomes that the callers received with what ran.
 # See docs/operating/soak.md.
 #
-#   scripts/soak.sh [--orderly] FIRST_SEED [LAST_SEED] [SECONDS]
+#   scripts/soak.sh [--orderly | --restores] FIRST_SEED [LAST_SEED] [SECONDS]
 #
 # The seed determines the schedule, which is printed if the run fails. Exit code
 # 0 only if no seed failed. SOAK_KEEP names a directory in which schedules and
 # logs are kept; without it they are removed at the end. SOAK_DAEMONS,
 # SOAK_CALLERS and SOAK_PORT set the size of the fleet and the ports.
 set -uo pipefail
-ORDERLY=()
-[ "${1:-}" = --orderly ] && ORDERLY=(--orderly) && shift
+KIND=()
+case "${1:-}" in --orderly | --restores) KIND=("$1") && shift ;; esac
 FIRST="${1:?first seed}"
 LAST="${2:-$FIRST}"
 LENGTH="${3:-20}"
@@ -28,7 +28,7 @@
     --relay "$BUILD/standins/relay_standin" --directory "$directory" \
     --seed "$seed" --seconds "$LENGTH" --daemons "${SOAK_DAEMONS:-6}" \
     --callers "${SOAK_CALLERS:-12}" --port "${SOAK_PORT:-21000}" \
-    ${ORDERLY[@]+"${ORDERLY[@]}"} >"$directory/schedule" 2>&1; then
+    ${KIND[@]+"${KIND[@]}"} >"$directory/schedule" 2>&1; then
     grep '^seed' "$directory/schedule"
   else
     FAILED=$((FAILED + 1))
