--- a/packages/dispatch/source_revision.h
+++ b/packages/dispatch/source_revision.h
@@ -1,7 +1,6 @@
 #ifndef DISPATCH_SOURCE_REVISION_H_
 #define DISPATCH_SOURCE_REVISION_H_
 
-#include <compare>
 #include <cstdint>
 
 namespace vanillafall {
@@ -14,8 +13,17 @@
   std::uint64_t era = 0;
   std::uint64_t number = 0;
 
-  friend auto operator<=>(const SourceRevision&,
-                          const SourceRevision&) = default;
+  friend bool operator==(const SourceRevision&,
+                         const SourceRevision&) = default;
+  friend bool operator<(const SourceRevision& a, const SourceRevision& b) {
+    return a.era < b.era || (a.era == b.era && a.number < b.number);
+  }
+  friend bool operator>(const SourceRevision& a, const SourceRevision& b) {
+    return b < a;
+  }
+  friend bool operator<=(const SourceRevision& a, const SourceRevision& b) {
+    return !(b < a);
+  }
 };
 
 }  // namespace vanillafall
