--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -229,21 +229,24 @@
 }
 
 Server::~Server() {
-  is_stopping_ = true;
-  shutdown(listener_, SHUT_RDWR);
+  CloseAll();
   acceptor_.join();
   close(listener_);
-  {
-    const std::lock_guard lock(mutex_);
-    for (const auto& connection : connections_) {
-      connection->Shutdown();
-    }
-  }
+  CloseAll();
   for (std::thread& thread : threads_) {
     thread.join();
   }
 }
 
+void Server::CloseAll() {
+  is_stopping_ = true;
+  shutdown(listener_, SHUT_RDWR);
+  const std::lock_guard lock(mutex_);
+  for (const auto& connection : connections_) {
+    connection->Shutdown();
+  }
+}
+
 void Server::Accept() {
   while (!is_stopping_) {
     const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
@@ -305,17 +308,57 @@
 void Store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   items_[key] = {value, ++revision_};
-  history_.push_back({key, revision_, value});
+  history_.push_back({key, revision_, value, Clock::now()});
   changed_.notify_all();
 }
 
 void Store::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
   items_.erase(key);
-  history_.push_back({key, ++revision_, std::nullopt});
+  history_.push_back({key, ++revision_, std::nullopt, Clock::now()});
+  changed_.notify_all();
+}
+
+void Store::SetStaleness(milliseconds staleness) {
+  const std::lock_guard lock(mutex_);
+  staleness_ = staleness;
+}
+
+void Store::ForgetHistory() {
+  const std::lock_guard lock(mutex_);
+  oldest_revision_ = revision_;
   changed_.notify_all();
 }
 
+std::string Store::Range(const std::string& prefix, bool is_serializable) {
+  constexpr int kOk = 200;
+  const std::lock_guard lock(mutex_);
+  const auto seen_until =
+      Clock::now() - (is_serializable ? staleness_ : milliseconds(0));
+  std::map<std::string, Item> items;
+  std::uint64_t revision = 0;
+  for (const Event& event : history_) {
+    if (event.at > seen_until) {
+      break;
+    }
+    revision = event.revision;
+    items.erase(event.key);
+    if (event.value) {
+      items[event.key] = {*event.value, event.revision};
+    }
+  }
+  std::string list;
+  for (const auto& [key, item] : items) {
+    if (key.rfind(prefix, 0) == 0) {
+      list +=
+          (list.empty() ? "" : ",") + MakeItem(key, item.revision, item.value);
+    }
+  }
+  std::string body = R"({"items":[)" + list;
+  body += R"(],"has_more":false,"current_rev":)";
+  return MakeAnswer(kOk, {}, body + std::to_string(revision) + "}");
+}
+
 std::string Store::Handle(const Message& request) {
   constexpr int kOk = 200;
   constexpr int kNotFound = 404;
@@ -328,6 +371,10 @@
                  milliseconds(std::strtol(QueryOf(target, "wait_ms").c_str(),
                                           nullptr, 10)));
   }
+  if (path == "/api/kv-range") {
+    return Range(QueryOf(target, "prefix"),
+                 QueryOf(target, "serializable") == "1");
+  }
   const std::lock_guard lock(mutex_);
   const std::string revision =
       R"(,"current_rev":)" + std::to_string(revision_) + "}";
@@ -342,18 +389,6 @@
     item.pop_back();
     return MakeAnswer(kOk, {}, item + revision);
   }
-  if (path == "/api/kv-range") {
-    const std::string prefix = QueryOf(target, "prefix");
-    std::string items;
-    for (const auto& [key, item] : items_) {
-      if (key.rfind(prefix, 0) == 0) {
-        items += (items.empty() ? "" : ",") +
-                 MakeItem(key, item.revision, item.value);
-      }
-    }
-    return MakeAnswer(
-        kOk, {}, R"({"items":[)" + items + R"(],"has_more":false)" + revision);
-  }
   return MakeAnswer(kNotFound, {}, "");
 }
 
@@ -363,7 +398,11 @@
   constexpr int kOk = 200;
   const auto end = Clock::now() + wait;
   std::unique_lock lock(mutex_);
+  constexpr int kGone = 410;
   while (true) {
+    if (after < oldest_revision_) {
+      return MakeAnswer(kGone, {}, "");
+    }
     std::string events;
     for (const Event& event : history_) {
       if (event.revision > after && event.key.rfind(prefix, 0) == 0) {
@@ -387,12 +426,16 @@
       [this](const Message& request) { return Handle(request); });
 }
 
-std::string Upstream::Entry() const {
+void Upstream::Stop() {
+  server_->CloseAll();
+}
+
+std::string Upstream::Entry(const std::string& state) const {
   return R"({"address":")" + options_.address + R"(","info":{"service":")" +
          options_.service + R"(","version":"v1","zone":")" + options_.zone +
          R"(","slots":)" + std::to_string(options_.slots) +
-         R"(},"status":{"state":"ready","sequence":1,"warmup_left_s":0},)" +
-         R"("born":1764900000000})";
+         R"(},"status":{"state":")" + state +
+         R"(","sequence":1,"warmup_left_s":0},)" + R"("born":1764900000000})";
 }
 
 int Upstream::RunsOf(const std::string& request_id) {
@@ -401,6 +444,11 @@
   return found == runs_.end() ? 0 : found->second;
 }
 
+std::vector<std::pair<std::string, Clock::time_point>> Upstream::Starts() {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
 std::optional<std::string> Upstream::Handle(const Message& request) {
   constexpr int kOk = 200;
   const std::string id = request.Get("x-request-id");
@@ -421,6 +469,7 @@
     }
     ++running_;
     ++runs_[id];
+    starts_.emplace_back(id, Clock::now());
   }
   record_.Add("upstream " + options_.id + " runs " + id + ", body " +
               std::to_string(request.body.size()));
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -85,6 +86,9 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  // Stops listening and closes all connections.
+  void CloseAll();
+
  private:
   void Accept();
   void Serve(const std::shared_ptr<Connection>& connection);
@@ -112,6 +116,10 @@
 
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // From now on, reads with serializable = 1 are this old.
+  void SetStaleness(milliseconds staleness);
+  // Discards the history: a watch from an earlier revision is answered 410.
+  void ForgetHistory();
 
  private:
   struct Item {
@@ -123,9 +131,11 @@
     std::uint64_t revision = 0;
     // Nothing when the key was removed.
     std::optional<std::string> value;
+    Clock::time_point at;
   };
 
   std::string Handle(const Message& request);
+  std::string Range(const std::string& prefix, bool is_serializable);
   std::string Watch(const std::string& prefix,
                     std::uint64_t after,
                     milliseconds wait);
@@ -135,7 +145,10 @@
   bool is_stopping_ = false;
   std::uint64_t revision_ = 10;
   std::map<std::string, Item> items_;
+  // All changes, also those that watches no longer get.
   std::vector<Event> history_;
+  std::uint64_t oldest_revision_ = 0;
+  milliseconds staleness_{0};
   std::unique_ptr<Server> server_;
 };
 
@@ -154,10 +167,14 @@
   Upstream(Options options, Record& record);
 
   // The value of the upstream's entry in the store.
-  std::string Entry() const;
+  std::string Entry(const std::string& state = "ready") const;
+  // Closes the port and all connections, also of requests that run.
+  void Stop();
   const Options& options() const { return options_; }
   // Number of times that the request began to run here.
   int RunsOf(const std::string& request_id);
+  // When each request began to run here, in the order of their starts.
+  std::vector<std::pair<std::string, Clock::time_point>> Starts();
 
  private:
   std::optional<std::string> Handle(const Message& request);
@@ -168,6 +185,7 @@
   std::condition_variable slot_free_;
   int running_ = 0;
   std::map<std::string, int> runs_;
+  std::vector<std::pair<std::string, Clock::time_point>> starts_;
   std::unique_ptr<Server> server_;
 };
 
