--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -39,13 +39,13 @@
   return parsed;
 }
 
-int OpenListener(const std::string& address) {
+int OpenListener(const std::string& address, int backlog = kBacklog) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in to = ToAddress(address);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0 ||
-      listen(fd, kBacklog) != 0) {
+      listen(fd, backlog) != 0) {
     close(fd);
     return -1;
   }
@@ -419,6 +419,111 @@
   }
 }
 
+StorePath::StorePath(std::string address, std::string target)
+    : address_(std::move(address)),
+      target_(std::move(target)),
+      // A short queue, so that few connections fill it.
+      listener_(OpenListener(address_, 1)),
+      acceptor_([this] { Accept(); }) {}
+
+StorePath::~StorePath() {
+  is_stopping_ = true;
+  Heal();
+  shutdown(listener_, SHUT_RDWR);
+  acceptor_.join();
+  {
+    const std::lock_guard lock(mutex_);
+    for (const int fd : open_) {
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  for (const int fd : open_) {
+    close(fd);
+  }
+  close(listener_);
+}
+
+void StorePath::Accept() {
+  constexpr int kPollMs = 2;
+  while (!is_stopping_) {
+    pollfd waiting{listener_, POLLIN, 0};
+    if (is_cut_ || poll(&waiting, 1, kPollMs) <= 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+      continue;
+    }
+    const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd < 0) {
+      continue;
+    }
+    const int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in target = ToAddress(target_);
+    if (connect(to, reinterpret_cast<const sockaddr*>(&target),
+                sizeof(target)) != 0) {
+      close(fd);
+      close(to);
+      continue;
+    }
+    const std::lock_guard lock(mutex_);
+    open_.push_back(fd);
+    open_.push_back(to);
+    threads_.emplace_back([this, fd, to] { Forward(fd, to); });
+    threads_.emplace_back([this, fd, to] { Forward(to, fd); });
+  }
+}
+
+void StorePath::Forward(int from, int to) {
+  constexpr std::size_t kBlock = 65'536;
+  std::string block(kBlock, 0);
+  while (true) {
+    const ssize_t count = recv(from, block.data(), kBlock, 0);
+    if (count <= 0 || send(to, block.data(), static_cast<std::size_t>(count),
+                           MSG_NOSIGNAL) != count) {
+      break;
+    }
+  }
+  shutdown(from, SHUT_RDWR);
+  shutdown(to, SHUT_RDWR);
+}
+
+void StorePath::FillQueue() {
+  constexpr int kFillers = 8;
+  const sockaddr_in to = ToAddress(address_);
+  for (int i = 0; i < kFillers; ++i) {
+    const int fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    // Stays in progress once the queue is full.
+    static_cast<void>(
+        connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)));
+    fillers_.push_back(fd);
+  }
+}
+
+void StorePath::Cut() {
+  is_cut_ = true;
+  const std::lock_guard lock(mutex_);
+  FillQueue();
+  for (const int fd : open_) {
+    // Resets the connection when it is shut down.
+    const linger reset{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(fd, SHUT_RDWR);
+  }
+}
+
+void StorePath::Heal() {
+  {
+    const std::lock_guard lock(mutex_);
+    for (const int fd : fillers_) {
+      close(fd);
+    }
+    fillers_.clear();
+  }
+  is_cut_ = false;
+}
+
 Upstream::Upstream(Options options, Record& record)
     : options_(std::move(options)), record_(record) {
   server_ = std::make_unique<Server>(
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -152,6 +152,36 @@
   std::unique_ptr<Server> server_;
 };
 
+// The path of one machine to the store. A cut resets the open connections and
+// drops the packets that would open new ones.
+class StorePath {
+ public:
+  StorePath(std::string address, std::string target);
+  ~StorePath();
+  StorePath(const StorePath&) = delete;
+  StorePath& operator=(const StorePath&) = delete;
+
+  void Cut();
+  void Heal();
+
+ private:
+  void Accept();
+  void Forward(int from, int to);
+  // Opens connections until the kernel drops further ones.
+  void FillQueue();
+
+  const std::string address_;
+  const std::string target_;
+  int listener_ = -1;
+  std::atomic<bool> is_cut_{false};
+  std::atomic<bool> is_stopping_{false};
+  std::mutex mutex_;
+  std::vector<int> open_;
+  std::vector<int> fillers_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
 // An upstream with slots that runs each request for a fixed time.
 class Upstream {
  public:
