--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -23,8 +23,8 @@
 constexpr int kCouldNotRun = 2;
 
 constexpr int kMachines = 12;
-// A third of the machines, all of one zone.
-constexpr int kCutMachines = 4;
+// A sixth of the machines, all of one zone.
+constexpr int kCutMachines = 2;
 constexpr int kClientsPerMachine = 6;
 constexpr milliseconds kWork{60};
 constexpr milliseconds kDrain{2000};
@@ -138,7 +138,7 @@
     for (int i = 0; i < kCutMachines; ++i) {
       fleet.paths[static_cast<std::size_t>(i)]->Cut();
     }
-    record.Add("four machines are cut off from the store");
+    record.Add("two machines are cut off from the store");
   }
   std::this_thread::sleep_for(kCutTime);
   for (int i = 0; i < kCutMachines; ++i) {
