Say where the proof of a refusal comes from

A refusal's event names the version that decided and the apparent age of its proof, but not who gave the proof, whether the source was believed to answer, whether the request had waited, or whether a newer version had been heard of.

Event 600 gets config_proof, config_heard, source and held_ms; the metrics get the highest version heard of and whether the source answers. No decision changes.

--- a/packages/daemon/metrics.cc
+++ b/packages/daemon/metrics.cc
@@ -183,6 +183,14 @@
                 gauges.control_bytes, out);
     RenderValue("vanillafall_platform_calls_total", "counter",
                 gauges.platform_calls, out);
+    if (gauges.newest_heard_version) {
+      RenderValue("vanillafall_config_heard_version", "gauge",
+                  *gauges.newest_heard_version, out);
+    }
+    if (gauges.is_source_reachable) {
+      RenderValue("vanillafall_source_reachable", "gauge",
+                  std::uint64_t{*gauges.is_source_reachable ? 1U : 0U}, out);
+    }
     if (gauges.config_age) {
       RenderValue("vanillafall_config_age_milliseconds", "gauge",
                   static_cast<std::uint64_t>(
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -36,6 +36,10 @@
     // Time since the configuration in force was last known to be the newest;
     // nothing while that is not known.
     std::optional<Duration> config_age;
+    // The highest version of a configuration that the daemon has heard of, and
+    // whether the platform answers it; nothing in fleets with service files.
+    std::optional<std::uint64_t> newest_heard_version;
+    std::optional<bool> is_source_reachable;
   };
 
   // In the latency histograms only the first max_customers customers have a
--- a/packages/dispatch/config_freshness.cc
+++ b/packages/dispatch/config_freshness.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 
 namespace vanillafall {
 namespace {
@@ -15,11 +16,15 @@
 // and are not passed on.
 constexpr std::chrono::milliseconds kMinNewsAge{400};
 
+const char* ToString(ConfigFreshness::Origin origin) {
+  return origin == ConfigFreshness::Origin::kSource ? "source" : "daemon";
+}
+
 }  // namespace
 
 ConfigFreshness::ConfigFreshness(std::uint64_t seed) : random_(seed) {}
 
-bool ConfigFreshness::OnConfirmed(TimePoint as_of) {
+bool ConfigFreshness::OnConfirmed(TimePoint as_of, Origin origin) {
   if (confirmed_at_ && as_of <= *confirmed_at_) {
     return false;
   }
@@ -28,12 +33,17 @@
     continuous_since_ = as_of;
   }
   confirmed_at_ = as_of;
+  origin_ = origin;
   check_at_ = as_of + kMinCheckAge +
               std::chrono::duration_cast<Duration>(
                   DrawPart() * (kMaxCheckAge - kMinCheckAge));
   return is_news;
 }
 
+void ConfigFreshness::OnVersionHeard(std::uint64_t version) {
+  newest_heard_version_ = std::max(newest_heard_version_, version);
+}
+
 bool ConfigFreshness::TryTakeCheck(TimePoint now) {
   const bool was_idle = now > last_input_at_ + kResumeSpread;
   last_input_at_ = now;
@@ -48,6 +58,18 @@
   return true;
 }
 
+std::vector<LogField> ConfigFreshness::Describe(TimePoint now) const {
+  std::string age_ms;
+  if (const std::optional<Duration> age = Age(now)) {
+    age_ms = std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(*age).count());
+  }
+  return {{"config_age_ms", age_ms},
+          {"config_proof", confirmed_at_ ? ToString(origin_) : ""},
+          {"config_heard", std::to_string(newest_heard_version_)},
+          {"source", is_source_reachable_ ? "reachable" : "unreachable"}};
+}
+
 std::optional<Duration> ConfigFreshness::Age(TimePoint now) const {
   return confirmed_at_ ? std::optional<Duration>(now - *confirmed_at_)
                        : std::nullopt;
--- a/packages/dispatch/config_freshness.h
+++ b/packages/dispatch/config_freshness.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <vector>
 
 #include "base/clock.h"
+#include "base/log_event.h"
 
 namespace vanillafall {
 
@@ -23,6 +25,9 @@
 // one has told them hardly grows with the fleet.
 class ConfigFreshness {
  public:
+  // Who showed that the configuration in force was the newest.
+  enum class Origin : std::uint8_t { kSource, kDaemon };
+
   // No daemon checks while the evidence is younger than this.
   static constexpr std::chrono::milliseconds kMinCheckAge{1000};
   // A daemon without word from others checks at this age at the latest.
@@ -35,13 +40,24 @@
 
   // No configuration newer than the one in force had been published at this
   // time. Returns whether this is news to pass on to other daemons.
-  bool OnConfirmed(TimePoint as_of);
+  bool OnConfirmed(TimePoint as_of, Origin origin);
+  // A configuration with this version exists, here or elsewhere.
+  void OnVersionHeard(std::uint64_t version);
+  // Whether the source answers this daemon; it does at the start.
+  void SetSourceReachable(bool is_reachable) {
+    is_source_reachable_ = is_reachable;
+  }
   // Number of daemons that share the checks.
   void SetFleetSize(std::size_t daemons) { daemons_ = daemons; }
   // Called for each input. Returns whether to check now. After that, it returns
   // false until a confirmation is old again or the check has had time to fail.
   bool TryTakeCheck(TimePoint now);
 
+  bool is_source_reachable() const { return is_source_reachable_; }
+  // The highest version that this daemon has heard of.
+  std::uint64_t newest_heard_version() const { return newest_heard_version_; }
+  // What is known of the configuration's age, as fields of a log event.
+  std::vector<LogField> Describe(TimePoint now) const;
   // Time since the last confirmation; nothing before the first one.
   std::optional<Duration> Age(TimePoint now) const;
   // Whether the last confirmation is at most kMaxAge old.
@@ -56,6 +72,10 @@
   std::mt19937_64 random_;
   std::size_t daemons_ = 1;
   std::optional<TimePoint> confirmed_at_;
+  // Of the last confirmation.
+  Origin origin_ = Origin::kSource;
+  bool is_source_reachable_ = true;
+  std::uint64_t newest_heard_version_ = 0;
   // Since when there have been no two confirmations further apart than kMaxAge.
   TimePoint continuous_since_;
   // At once while there is no confirmation.
--- a/packages/dispatch/config_freshness_test.cc
+++ b/packages/dispatch/config_freshness_test.cc
@@ -7,6 +7,7 @@
 namespace vanillafall {
 namespace {
 
+using Origin = ConfigFreshness::Origin;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -14,7 +15,7 @@
 
 // The age of the evidence at which a daemon with traffic checks again.
 Duration CheckAge(ConfigFreshness& freshness, TimePoint confirmed_at) {
-  freshness.OnConfirmed(confirmed_at);
+  freshness.OnConfirmed(confirmed_at, Origin::kSource);
   TimePoint now = confirmed_at;
   while (!freshness.TryTakeCheck(now)) {
     now += milliseconds(1);
@@ -78,7 +79,7 @@
   for (int i = 0; i < kDaemons; ++i) {
     ConfigFreshness freshness(static_cast<std::uint64_t>(i));
     freshness.SetFleetSize(kDaemons);
-    freshness.OnConfirmed(kStart);
+    freshness.OnConfirmed(kStart, Origin::kSource);
     TimePoint now = begin;
     while (!freshness.TryTakeCheck(now)) {
       now += milliseconds(1);
@@ -108,24 +109,25 @@
   CHECK_FALSE(freshness.IsConfirmedSince(kStart, kStart));
   TimePoint now = kStart;
   for (int i = 0; i < 5; ++i) {
-    freshness.OnConfirmed(now);
+    freshness.OnConfirmed(now, Origin::kSource);
     now += seconds(1);
   }
   CHECK(freshness.IsConfirmedSince(kStart, now));
   CHECK_FALSE(freshness.IsConfirmedSince(kStart - seconds(1), now));
   now += seconds(2);
   CHECK_FALSE(freshness.IsConfirmedSince(kStart, now));
-  freshness.OnConfirmed(now);
+  freshness.OnConfirmed(now, Origin::kSource);
   CHECK_FALSE(freshness.IsConfirmedSince(kStart, now));
   CHECK(freshness.IsConfirmedSince(now, now));
 }
 
 TEST_CASE("only a confirmation that others may lack is news", "[freshness]") {
   ConfigFreshness freshness(1);
-  CHECK(freshness.OnConfirmed(kStart));
-  CHECK_FALSE(freshness.OnConfirmed(kStart - seconds(1)));
-  CHECK_FALSE(freshness.OnConfirmed(kStart + milliseconds(10)));
-  CHECK(freshness.OnConfirmed(kStart + seconds(1)));
+  CHECK(freshness.OnConfirmed(kStart, Origin::kSource));
+  CHECK_FALSE(freshness.OnConfirmed(kStart - seconds(1), Origin::kSource));
+  CHECK_FALSE(
+      freshness.OnConfirmed(kStart + milliseconds(10), Origin::kSource));
+  CHECK(freshness.OnConfirmed(kStart + seconds(1), Origin::kSource));
   CHECK(freshness.Age(kStart + seconds(3)) == seconds(2));
 }
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -78,6 +78,7 @@
     return;
   }
   table_ = table;
+  freshness_.OnVersionHeard(table->version());
   entry_.Configure(table);
   owner_.SetConfigVersion(table->version());
   LogEvent event{LogEventId::kConfigInForce,
@@ -95,7 +96,7 @@
 }
 
 void Dispatcher::SetSourceReachable(bool is_reachable, TimePoint now) {
-  is_source_reachable_ = is_reachable;
+  freshness_.SetSourceReachable(is_reachable);
   limiter_.SetSourceReachable(is_reachable, now);
   if (!is_reachable) {
     // Nobody can tell more about the own server than is known.
@@ -111,14 +112,15 @@
 void Dispatcher::OnConfigConfirmed(TimePoint as_of,
                                    const SourceRevision& revision,
                                    TimePoint now) {
-  ApplyConfirmation(as_of, revision, now);
+  ApplyConfirmation(ConfigFreshness::Origin::kSource, as_of, revision, now);
   DeliverPendingMessages(now);
 }
 
-void Dispatcher::ApplyConfirmation(TimePoint as_of,
+void Dispatcher::ApplyConfirmation(ConfigFreshness::Origin origin,
+                                   TimePoint as_of,
                                    const SourceRevision& revision,
                                    TimePoint now) {
-  if (freshness_.OnConfirmed(as_of) && table_) {
+  if (freshness_.OnConfirmed(as_of, origin) && table_) {
     delegate_.SendToSomeDaemons(ConfigConfirmed{
         table_->version(),
         std::chrono::ceil<std::chrono::milliseconds>(now - as_of), revision});
@@ -129,15 +131,17 @@
 void Dispatcher::HandleConfirmation(const ConfigConfirmed& confirmed,
                                     const std::function<void()>& request_config,
                                     TimePoint now) {
+  freshness_.OnVersionHeard(confirmed.version);
   const std::uint64_t own = table_ ? table_->version() : 0;
   if (confirmed.version == own && table_) {
     if (now < trusts_others_from_) {
       return;
     }
     delegate_.OnConfigConfirmedElsewhere(confirmed.revision);
-    ApplyConfirmation(now - confirmed.age, confirmed.revision, now);
+    ApplyConfirmation(ConfigFreshness::Origin::kDaemon, now - confirmed.age,
+                      confirmed.revision, now);
   } else if (confirmed.version > own &&
-             (!freshness_.IsRecent(now) || !is_source_reachable_)) {
+             (!freshness_.IsRecent(now) || !freshness_.is_source_reachable())) {
     // Otherwise the source itself reports the newer version.
     request_config();
   }
@@ -155,7 +159,8 @@
 
 std::chrono::milliseconds Dispatcher::HoldTime(const EntryRequest& request,
                                                TimePoint now) const {
-  if (table_ == nullptr || !is_source_reachable_ || freshness_.IsRecent(now)) {
+  if (table_ == nullptr || !freshness_.is_source_reachable() ||
+      freshness_.IsRecent(now)) {
     return {};
   }
   const DispatchRoutePtr route =
@@ -182,8 +187,10 @@
       continue;
     }
     EntryRequest request = std::move(current->second.request);
-    request.age += std::chrono::duration_cast<std::chrono::milliseconds>(
+    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - current->second.since);
+    request.age += held;
+    request.held += held;
     held_.erase(current);
     if (hold_time == kMaxHoldTime) {
       entry_.RefuseUnconfirmed(request, now);
@@ -561,6 +568,7 @@
 }
 
 bool Dispatcher::ShouldRequestConfig(std::uint64_t version, TimePoint now) {
+  freshness_.OnVersionHeard(version);
   const std::uint64_t own = table_ ? table_->version() : 0;
   if (version <= own || now < config_requested_at_ + kMinConfigRequestPeriod) {
     return false;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -111,6 +111,11 @@
   std::optional<Duration> ConfigAge(TimePoint now) const {
     return freshness_.Age(now);
   }
+  // The highest version of a configuration that this daemon has heard of.
+  std::uint64_t newest_heard_version() const {
+    return freshness_.newest_heard_version();
+  }
+  bool is_source_reachable() const { return freshness_.is_source_reachable(); }
   // Whether other daemons or this one have found the source answering at all
   // times since then, as far as confirmations of the configuration show it.
   bool HasSourceAnsweredSince(TimePoint since, TimePoint now) const {
@@ -238,7 +243,8 @@
   // Checks at the source, if it is time, that the configuration is the newest.
   void CheckConfigIfDue(TimePoint now);
   // Tells other daemons of a confirmation that is news to this one.
-  void ApplyConfirmation(TimePoint as_of,
+  void ApplyConfirmation(ConfigFreshness::Origin origin,
+                         TimePoint as_of,
                          const SourceRevision& revision,
                          TimePoint now);
   // Another daemon knows that its configuration was the newest. Its text is
@@ -257,7 +263,6 @@
   RouteTablePtr table_;
   bool has_servers_ = false;
   ConfigFreshness freshness_;
-  bool is_source_reachable_ = true;
   // Confirmations of other daemons that are handled before this time may have
   // been received earlier.
   TimePoint trusts_others_from_;
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -590,6 +590,29 @@
   CHECK(refusals == 2);
 }
 
+TEST_CASE("a refusal says what shows that its configuration is the newest",
+          "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
+  const auto last_fields = [&f] {
+    std::map<std::string, std::string> fields;
+    for (const LogField& field : f.delegate.events.back().fields) {
+      fields[field.name] = field.value;
+    }
+    return fields;
+  };
+  f.Request("/none/x");
+  f.now += milliseconds(30);
+  f.dispatcher.OnConfigConfirmed(f.now - milliseconds(20), {0, 7}, f.now);
+  auto fields = last_fields();
+  CHECK(fields["config"] == "5");
+  CHECK(fields["config_age_ms"] == "20");
+  CHECK(fields["config_proof"] == "source");
+  CHECK(fields["config_heard"] == "5");
+  CHECK(fields["source"] == "reachable");
+  CHECK(fields["held_ms"] == "30");
+}
+
 TEST_CASE("a held request whose caller leaves is dropped", "[dispatcher]") {
   Fixture f;
   f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -210,18 +210,18 @@
                           Reason reason,
                           TimePoint now,
                           milliseconds retry_after) {
-  const std::optional<Duration> age = freshness_.Age(now);
   const std::string& key = request.key.text;
-  LogEvent event{
-      LogEventId::kRequestAnswered,
-      HideKey(request.request_id, key),
-      ToString(reason),
-      {{"outcome", ToString(Outcome::kNotRun)},
-       {"host", HideKey(request.host, key)},
-       {"target", HideKey(request.request.target, key)},
-       {"config", std::to_string(table_ ? table_->version() : 0)},
-       {"config_age_ms",
-        age ? std::to_string(duration_cast<milliseconds>(*age).count()) : ""}}};
+  LogEvent event{LogEventId::kRequestAnswered,
+                 HideKey(request.request_id, key),
+                 ToString(reason),
+                 {{"outcome", ToString(Outcome::kNotRun)},
+                  {"host", HideKey(request.host, key)},
+                  {"target", HideKey(request.request.target, key)},
+                  {"config", std::to_string(table_ ? table_->version() : 0)},
+                  {"held_ms", std::to_string(request.held.count())}}};
+  for (LogField& field : freshness_.Describe(now)) {
+    event.fields.push_back(std::move(field));
+  }
   const CustomerPtr customer =
       table_ ? table_->FindCustomer(request.key) : nullptr;
   const std::string customer_name = customer ? customer->name : "";
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -35,6 +35,9 @@
   std::optional<std::chrono::milliseconds> time_left;
   // Time since the first byte of the request arrived.
   std::chrono::milliseconds age{0};
+  // Part of that time for which it has waited for a confirmation that the
+  // configuration is the newest.
+  std::chrono::milliseconds held{0};
   // Whether the request may be a call of this instance's backend server.
   CallParent parent;
   CallerKey key;
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -700,6 +700,8 @@
   gauges.control_bytes = traffic.bytes_sent;
   gauges.platform_calls = source_.call_count();
   gauges.config_age = dispatcher_.ConfigAge(clock_.now());
+  gauges.newest_heard_version = dispatcher_.newest_heard_version();
+  gauges.is_source_reachable = dispatcher_.is_source_reachable();
   metrics_listener_.Answer(
       id, PlainPage(kOk, metrics_.Render(gauges) + RenderMemory()));
 }
