--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -663,6 +663,31 @@
   CHECK(other.delegate.answers.size() == 2);
 }
 
+TEST_CASE(
+    "a confirmation that waited on its way does not make a daemon refuse a "
+    "route that was added meanwhile",
+    "[dispatcher][.late_confirmation]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
+  const ConfigConfirmed sent{5, milliseconds(5), {0, 7}};
+  f.now += seconds(3);
+  f.dispatcher.OnEntryMessage(3, sent, f.now);
+  f.dispatcher.OnOwnerMessage("10.0.0.2:7100", sent, f.now);
+  f.Request("/new/x");
+  CHECK(f.delegate.answers.empty());
+}
+
+TEST_CASE(
+    "a route is not refused as unknown once a newer configuration was heard of",
+    "[dispatcher][.newer_version_heard]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
+  f.dispatcher.OnConfigConfirmed(f.now, {0, 7}, f.now);
+  f.dispatcher.OnEntryMessage(3, ConfigConfirmed{6, {}, {0, 8}}, f.now);
+  f.Request("/new/x");
+  CHECK(f.delegate.answers.empty());
+}
+
 TEST_CASE("the owner of a server that is seen to leave is told",
           "[dispatcher]") {
   Fixture f;
