Refuse nothing as unknown because the source does not answer

Callers got 404 for a route that had been published seconds before, at daemons that had no answer from the store. One refusal, or one read without an answer within 1.5 s, made a daemon take the store for down, and the configuration in force then decided whatever its age, as nothing could be published. But a store may refuse one daemon, or be too busy for it, and serve the operator.

Now a refusal needs a recent proof in every case; without one the request waits 0.25 s for another daemon's and is then refused as not run, with a time to come back.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -20,6 +20,9 @@
 // route matches it. The source answers within a few hundred milliseconds, or a
 // silent connection to it is replaced meanwhile.
 constexpr std::chrono::milliseconds kMaxHoldTime{1000};
+// The same while the source does not answer this daemon. Another daemon that it
+// does answer passes the confirmation on within a few round trips.
+constexpr std::chrono::milliseconds kMaxUnreachableHoldTime{250};
 // Answers with at least this HTTP status are failures of the backend server.
 constexpr int kFirstFailureStatus = 500;
 // The names of limits of customers begin with this.
@@ -98,10 +101,12 @@
 void Dispatcher::SetSourceReachable(bool is_reachable, TimePoint now) {
   freshness_.SetSourceReachable(is_reachable);
   limiter_.SetSourceReachable(is_reachable, now);
+  ReleaseHeldRequests(now);
   if (!is_reachable) {
     // Nobody can tell more about the own server than is known.
-    OnOwnServerConfirmed(now);
+    owner_.ReleaseOffers(now);
   }
+  DeliverPendingMessages(now);
 }
 
 void Dispatcher::OnOwnServerConfirmed(TimePoint now) {
@@ -157,33 +162,42 @@
   }
 }
 
-std::chrono::milliseconds Dispatcher::HoldTime(const EntryRequest& request,
-                                               TimePoint now) const {
-  if (table_ == nullptr || !freshness_.is_source_reachable() ||
-      freshness_.IsRecent(now)) {
-    return {};
+Dispatcher::HoldReason Dispatcher::FindHoldReason(const EntryRequest& request,
+                                                  TimePoint now) const {
+  if (table_ == nullptr || freshness_.IsRecent(now)) {
+    return HoldReason::kNone;
   }
   const DispatchRoutePtr route =
       table_->Find(request.host, request.request.target);
-  if (route == nullptr) {
-    return kMaxHoldTime;
-  }
   const CustomerPtr customer = table_->FindCustomer(request.key);
-  if (!table_->Admits(*route, customer)) {
-    return kMaxHoldTime;
+  if (route == nullptr || !table_->Admits(*route, customer)) {
+    return HoldReason::kWouldBeRefused;
+  }
+  return customer != nullptr && freshness_.is_source_reachable()
+             ? HoldReason::kMayBeOutdated
+             : HoldReason::kNone;
+}
+
+std::chrono::milliseconds Dispatcher::MaxHoldTime(HoldReason reason) const {
+  switch (reason) {
+    case HoldReason::kNone:
+      return {};
+    case HoldReason::kMayBeOutdated:
+      return kMaxKeyHoldTime;
+    case HoldReason::kWouldBeRefused:
+      return freshness_.is_source_reachable() ? kMaxHoldTime
+                                              : kMaxUnreachableHoldTime;
   }
-  return customer == nullptr ? std::chrono::milliseconds(0) : kMaxKeyHoldTime;
+  return {};
 }
 
 void Dispatcher::ReleaseHeldRequests(TimePoint now) {
   for (auto next = held_.begin(); next != held_.end();) {
     const auto current = next++;
     const bool is_overdue = now >= current->second.until;
-    const std::chrono::milliseconds hold_time =
-        HoldTime(current->second.request, now);
-    // It is shorter when a newer configuration has a route or key for the
-    // request.
-    if (!is_overdue && hold_time >= current->second.hold_time) {
+    const HoldReason reason = FindHoldReason(current->second.request, now);
+    // A newer configuration may have a route or key for the request.
+    if (!is_overdue && reason >= current->second.reason) {
       continue;
     }
     EntryRequest request = std::move(current->second.request);
@@ -192,7 +206,7 @@
     request.age += held;
     request.held += held;
     held_.erase(current);
-    if (hold_time == kMaxHoldTime) {
+    if (reason == HoldReason::kWouldBeRefused) {
       entry_.RefuseUnconfirmed(request, now);
     } else {
       Accept(std::move(request), now);
@@ -250,25 +264,23 @@
     request.parent = owner_.ParentOfCall(deadline);
   }
   CheckConfigIfDue(now);
-  const std::chrono::milliseconds hold_time = HoldTime(request, now);
-  if (hold_time.count() > 0) {
-    Hold(std::move(request), hold_time, now);
+  const HoldReason reason = FindHoldReason(request, now);
+  if (reason != HoldReason::kNone) {
+    Hold(std::move(request), reason, now);
     return;
   }
   Accept(std::move(request), now);
   DeliverPendingMessages(now);
 }
 
-void Dispatcher::Hold(EntryRequest request,
-                      std::chrono::milliseconds hold_time,
-                      TimePoint now) {
+void Dispatcher::Hold(EntryRequest request, HoldReason reason, TimePoint now) {
   delegate_.CheckSource();
-  TimePoint until = now + hold_time;
+  TimePoint until = now + MaxHoldTime(reason);
   if (request.time_left) {
     until = std::min(until, now - request.age + *request.time_left);
   }
   const RequestId id = request.id;
-  held_[id] = {std::move(request), now, hold_time, until};
+  held_[id] = {std::move(request), now, reason, until};
 }
 
 void Dispatcher::Accept(EntryRequest request, TimePoint now) {
@@ -292,8 +304,8 @@
 }
 
 void Dispatcher::PassOn(EntryRequest request, TimePoint now) {
-  if (HoldTime(request, now) == kMaxHoldTime) {
-    Hold(std::move(request), kMaxHoldTime, now);
+  if (FindHoldReason(request, now) == HoldReason::kWouldBeRefused) {
+    Hold(std::move(request), HoldReason::kWouldBeRefused, now);
     return;
   }
   entry_.OnRequest(std::move(request), random_, now);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -145,13 +145,23 @@
     LinkMessage message;
   };
 
+  // Why a request waits for a confirmation that the configuration is the
+  // newest, the most urgent last.
+  enum class HoldReason : std::uint8_t {
+    kNone,
+    // It can run, but its key may have been removed. That happens only after a
+    // time without traffic or after the process stood still.
+    kMayBeOutdated,
+    // It would be refused, but a route or key for it may have been published.
+    kWouldBeRefused,
+  };
+
   // A request that waits until the source has confirmed that no route matches
   // it, no customer has its key, or its key was not removed.
   struct HeldRequest {
     EntryRequest request;
     TimePoint since;
-    // As HoldTime returned it.
-    std::chrono::milliseconds hold_time{0};
+    HoldReason reason = HoldReason::kNone;
     TimePoint until;
   };
 
@@ -203,13 +213,11 @@
                      TimePoint now);
   // Tells the owners of listed servers that this new list shows as leaving.
   void NotifyOwnersOfLeaving(const std::vector<ListedServer>& servers);
-  // How long the request may wait for a confirmation that the configuration is
-  // the newest; 0 when it is handled now. A request that would be refused waits
-  // longest, since a route or key for it may have been published. A request
-  // with a valid key waits shortly, since the key may have been removed; that
-  // happens only after a time without traffic or after the process stood still.
-  std::chrono::milliseconds HoldTime(const EntryRequest& request,
-                                     TimePoint now) const;
+  // That the source does not answer this daemon is no reason to refuse a
+  // request: it may answer others, and the operator.
+  HoldReason FindHoldReason(const EntryRequest& request, TimePoint now) const;
+  // How long a request may wait for this reason.
+  std::chrono::milliseconds MaxHoldTime(HoldReason reason) const;
   // Passes on the held requests that need not wait any longer, and refuses
   // those that have waited too long.
   void ReleaseHeldRequests(TimePoint now);
@@ -218,11 +226,9 @@
   void Accept(EntryRequest request, TimePoint now);
   // Passes a request on whose limit need not be checked or has been checked.
   void PassOn(EntryRequest request, TimePoint now);
-  // Lets a request wait for this time at most until the source has confirmed
-  // that the configuration is the newest.
-  void Hold(EntryRequest request,
-            std::chrono::milliseconds hold_time,
-            TimePoint now);
+  // Lets a request wait until the source has confirmed that the configuration
+  // is the newest, or until it has waited too long.
+  void Hold(EntryRequest request, HoldReason reason, TimePoint now);
   // The customer of a request that is to be admitted only within a limit; null
   // for all other requests.
   CustomerPtr FindLimitedCustomer(const EntryRequest& request) const;
