Date a proof of another daemon from the question, not from its arrival

A daemon could answer 404 or 401 by an older configuration on a proof that seemed to be a few milliseconds old and was seconds old. ConfigConfirmed carries its age as of the time it was made; the time for which it waited in the sender's queue, on a slow link or in the receiver's buffers was not counted, and each daemon that passed it on began anew from there. Only a standstill of the own process was recognised, by a guess.

Evidence: late_confirmation, a message that was on its way for 3 s, made the daemon refuse at once.

An unasked confirmation now leads to a question, and the reply is dated from when the daemon asked. That needs no clock but its own, and holds for every delay, so the guess about standstills goes. A request that has to wait asks some other daemons as well, and so does one that the source does not answer.

late_confirmation passes and becomes an ordinary test. The test of standstills keeps its checks, and also covers a reply from before the standstill.

--- a/packages/dispatch/config_freshness.cc
+++ b/packages/dispatch/config_freshness.cc
@@ -28,7 +28,7 @@
   if (confirmed_at_ && as_of <= *confirmed_at_) {
     return false;
   }
-  const bool is_news = !confirmed_at_ || as_of > *confirmed_at_ + kMinNewsAge;
+  const bool is_news = IsNews(as_of);
   if (!confirmed_at_ || as_of > *confirmed_at_ + kMaxAge) {
     continuous_since_ = as_of;
   }
@@ -40,6 +40,10 @@
   return is_news;
 }
 
+bool ConfigFreshness::IsNews(TimePoint as_of) const {
+  return !confirmed_at_ || as_of > *confirmed_at_ + kMinNewsAge;
+}
+
 void ConfigFreshness::OnVersionHeard(std::uint64_t version) {
   newest_heard_version_ = std::max(newest_heard_version_, version);
 }
--- a/packages/dispatch/config_freshness.h
+++ b/packages/dispatch/config_freshness.h
@@ -49,6 +49,8 @@
   }
   // Number of daemons that share the checks.
   void SetFleetSize(std::size_t daemons) { daemons_ = daemons; }
+  // Whether a confirmation as of this time would be news.
+  bool IsNews(TimePoint as_of) const;
   // Called for each input. Returns whether to check now. After that, it returns
   // false until a confirmation is old again or the check has had time to fail.
   bool TryTakeCheck(TimePoint now);
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -10,12 +10,12 @@
 
 // The daemon's link to itself. Ids of links from other daemons start at 1.
 constexpr LinkId kOwnLink = 0;
-// Time within which a process that has stood still reads what it has received
-// meanwhile.
-constexpr std::chrono::milliseconds kCatchUpTime{200};
 // Minimum time between two requests for a newer configuration: a reply takes
 // one round trip.
 constexpr std::chrono::milliseconds kMinConfigRequestPeriod{100};
+// Minimum time between two questions for a confirmation: a reply takes one
+// round trip.
+constexpr std::chrono::milliseconds kMinConfirmationRequestPeriod{50};
 // Maximum time for which a request waits until the source has confirmed that no
 // route matches it. The source answers within a few hundred milliseconds, or a
 // silent connection to it is replaced meanwhile.
@@ -125,40 +125,79 @@
                                    TimePoint as_of,
                                    const SourceRevision& revision,
                                    TimePoint now) {
+  confirmed_revision_ = revision;
   if (freshness_.OnConfirmed(as_of, origin) && table_) {
     delegate_.SendToSomeDaemons(ConfigConfirmed{
         table_->version(),
-        std::chrono::ceil<std::chrono::milliseconds>(now - as_of), revision});
+        std::chrono::ceil<std::chrono::milliseconds>(now - as_of), revision,
+        std::nullopt});
   }
   ReleaseHeldRequests(now);
 }
 
 void Dispatcher::HandleConfirmation(const ConfigConfirmed& confirmed,
-                                    const std::function<void()>& request_config,
+                                    const Reply& reply,
                                     TimePoint now) {
   freshness_.OnVersionHeard(confirmed.version);
   const std::uint64_t own = table_ ? table_->version() : 0;
   if (confirmed.version == own && table_) {
-    if (now < trusts_others_from_) {
-      return;
-    }
     delegate_.OnConfigConfirmedElsewhere(confirmed.revision);
-    ApplyConfirmation(ConfigFreshness::Origin::kDaemon, now - confirmed.age,
-                      confirmed.revision, now);
+    if (confirmed.asked_at) {
+      const TimePoint asked_at{*confirmed.asked_at};
+      ApplyConfirmation(ConfigFreshness::Origin::kDaemon,
+                        std::min(asked_at, now) - confirmed.age,
+                        confirmed.revision, now);
+    } else if (freshness_.IsNews(now - confirmed.age) &&
+               TryTakeConfirmationRequest(now)) {
+      reply(MakeConfirmationRequest(now));
+    }
   } else if (confirmed.version > own &&
-             (!freshness_.IsRecent(now) || !freshness_.is_source_reachable())) {
+             (!freshness_.IsRecent(now) || !freshness_.is_source_reachable()) &&
+             ShouldRequestConfig(confirmed.version, now)) {
     // Otherwise the source itself reports the newer version.
-    request_config();
+    reply(ConfigWanted{});
+  }
+}
+
+void Dispatcher::AnswerConfirmationRequest(const ConfirmationWanted& wanted,
+                                           const Reply& reply,
+                                           TimePoint now) {
+  const std::optional<Duration> age = freshness_.Age(now);
+  if (table_ && age) {
+    reply(ConfigConfirmed{table_->version(),
+                          std::chrono::ceil<std::chrono::milliseconds>(*age),
+                          confirmed_revision_, wanted.asked_at});
   }
 }
 
-void Dispatcher::OnStoodStill(TimePoint now) {
-  trusts_others_from_ = now + kCatchUpTime;
+bool Dispatcher::TryTakeConfirmationRequest(TimePoint now) {
+  if (now < confirmation_requested_at_ + kMinConfirmationRequestPeriod) {
+    return false;
+  }
+  confirmation_requested_at_ = now;
+  return true;
+}
+
+ConfirmationWanted Dispatcher::MakeConfirmationRequest(TimePoint now) {
+  return {
+      std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch())};
+}
+
+void Dispatcher::RequestConfirmation(TimePoint now) {
+  delegate_.CheckSource();
+  if (TryTakeConfirmationRequest(now)) {
+    delegate_.SendToSomeDaemons(MakeConfirmationRequest(now));
+  }
 }
 
 void Dispatcher::CheckConfigIfDue(TimePoint now) {
-  if (freshness_.TryTakeCheck(now)) {
+  if (!freshness_.TryTakeCheck(now)) {
+    return;
+  }
+  if (freshness_.is_source_reachable()) {
     delegate_.CheckSource();
+  } else {
+    RequestConfirmation(now);
   }
 }
 
@@ -274,7 +313,7 @@
 }
 
 void Dispatcher::Hold(EntryRequest request, HoldReason reason, TimePoint now) {
-  delegate_.CheckSource();
+  RequestConfirmation(now);
   TimePoint until = now + MaxHoldTime(reason);
   if (request.time_left) {
     until = std::min(until, now - request.age + *request.time_left);
@@ -488,10 +527,13 @@
 void Dispatcher::HandleAsOwner(LinkId link,
                                LinkMessage message,
                                TimePoint now) {
-  const auto request_config_if_newer = [this, link,
+  const Reply reply = [this, link](LinkMessage answer) {
+    ReplyTo(link, std::move(answer));
+  };
+  const auto request_config_if_newer = [this, &reply,
                                         now](std::uint64_t version) {
     if (ShouldRequestConfig(version, now)) {
-      ReplyTo(link, ConfigWanted{});
+      reply(ConfigWanted{});
     }
   };
   std::visit(
@@ -507,8 +549,8 @@
           [&](CancelRun& cancel) { owner_.OnCancel(cancel.id, now); },
           [&](Resume& resume) { owner_.OnResume(link, resume, now); },
           [&](Hello& hello) { request_config_if_newer(hello.config_version); },
-          [&](Ping&) { ReplyTo(link, Pong{}); },
-          [&](ConfigWanted&) { ReplyTo(link, delegate_.GetConfigText()); },
+          [&](Ping&) { reply(Pong{}); },
+          [&](ConfigWanted&) { reply(delegate_.GetConfigText()); },
           [&](ConfigText& config) { delegate_.OnConfigText(config); },
           [&](CrashNotice& notice) { crash_guard_.OnNotice(notice, now); },
           [&](ServerLeaving& leaving) {
@@ -519,9 +561,10 @@
             }
           },
           [&](ConfigConfirmed& confirmed) {
-            HandleConfirmation(
-                confirmed, [&] { request_config_if_newer(confirmed.version); },
-                now);
+            HandleConfirmation(confirmed, reply, now);
+          },
+          [&](ConfirmationWanted& wanted) {
+            AnswerConfirmationRequest(wanted, reply, now);
           },
           [&](CreditRequest& request) {
             request_config_if_newer(request.config_version);
@@ -535,41 +578,44 @@
                                LinkMessage message,
                                TimePoint now) {
   entry_.OnMessageReceived(owner, now);
+  const Reply reply = [this, &owner](LinkMessage answer) {
+    SendToOwner(owner, std::move(answer));
+  };
   const auto request_config_if_newer = [&](std::uint64_t version) {
     if (ShouldRequestConfig(version, now)) {
-      SendToOwner(owner, ConfigWanted{});
+      reply(ConfigWanted{});
     }
   };
   std::visit(
-      Overloaded{
-          [&](Grant& grant) {
-            request_config_if_newer(grant.config_version);
-            entry_.OnGrant(grant, random_, now);
-          },
-          [&](Deny& deny) {
-            request_config_if_newer(deny.config_version);
-            entry_.OnDeny(deny, random_, now);
-          },
-          [&](RunResult& result) {
-            request_config_if_newer(result.config_version);
-            entry_.OnResult(std::move(result), random_, now);
-          },
-          [&](Hello& hello) {
-            request_config_if_newer(hello.config_version);
-            entry_.OnHello(owner, hello, now);
-          },
-          [&](ConfigWanted&) { SendToOwner(owner, delegate_.GetConfigText()); },
-          [&](ConfigConfirmed& confirmed) {
-            HandleConfirmation(
-                confirmed, [&] { request_config_if_newer(confirmed.version); },
-                now);
-          },
-          [&](ConfigText& config) { delegate_.OnConfigText(config); },
-          [&](CreditReply& reply) {
-            request_config_if_newer(reply.config_version);
-            limiter_.OnCreditReply(owner, reply, now);
-          },
-          [](auto&) {}},
+      Overloaded{[&](Grant& grant) {
+                   request_config_if_newer(grant.config_version);
+                   entry_.OnGrant(grant, random_, now);
+                 },
+                 [&](Deny& deny) {
+                   request_config_if_newer(deny.config_version);
+                   entry_.OnDeny(deny, random_, now);
+                 },
+                 [&](RunResult& result) {
+                   request_config_if_newer(result.config_version);
+                   entry_.OnResult(std::move(result), random_, now);
+                 },
+                 [&](Hello& hello) {
+                   request_config_if_newer(hello.config_version);
+                   entry_.OnHello(owner, hello, now);
+                 },
+                 [&](ConfigWanted&) { reply(delegate_.GetConfigText()); },
+                 [&](ConfigConfirmed& confirmed) {
+                   HandleConfirmation(confirmed, reply, now);
+                 },
+                 [&](ConfirmationWanted& wanted) {
+                   AnswerConfirmationRequest(wanted, reply, now);
+                 },
+                 [&](ConfigText& config) { delegate_.OnConfigText(config); },
+                 [&](CreditReply& reply) {
+                   request_config_if_newer(reply.config_version);
+                   limiter_.OnCreditReply(owner, reply, now);
+                 },
+                 [](auto&) {}},
       message);
 }
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -70,9 +70,6 @@
   // are answered only after OnOwnServerConfirmed.
   void HoldOffers() { owner_.HoldOffers(); }
   void OnOwnServerConfirmed(TimePoint now);
-  // The process has stood still until now. Messages that came meanwhile are
-  // older than they look: they are no evidence of what is the newest.
-  void OnStoodStill(TimePoint now);
   void OnServers(const std::vector<ListedServer>& servers, TimePoint now);
   void OnCallerRequest(EntryRequest request, TimePoint now);
   void OnCallerGone(RequestId id, TimePoint now);
@@ -137,6 +134,9 @@
   }
 
  private:
+  // Sends a message back to where another one came from.
+  using Reply = std::function<void(LinkMessage)>;
+
   // Messages that this daemon sends to itself, by the receiving role.
   struct ToSelfAsOwner {
     LinkMessage message;
@@ -253,12 +253,22 @@
                          TimePoint as_of,
                          const SourceRevision& revision,
                          TimePoint now);
-  // Another daemon knows that its configuration was the newest. Its text is
+  // Another daemon knows that its configuration was the newest. As the message
+  // may have been on its way for long, it only leads to a question, whose reply
+  // is at most as old as the question. The text of a newer configuration is
   // requested only if this daemon could not learn of it by itself: it is large,
   // and all daemons hear of it within milliseconds.
   void HandleConfirmation(const ConfigConfirmed& confirmed,
-                          const std::function<void()>& request_config,
+                          const Reply& reply,
                           TimePoint now);
+  void AnswerConfirmationRequest(const ConfirmationWanted& wanted,
+                                 const Reply& reply,
+                                 TimePoint now);
+  // Whether to ask another daemon for a confirmation now.
+  bool TryTakeConfirmationRequest(TimePoint now);
+  static ConfirmationWanted MakeConfirmationRequest(TimePoint now);
+  // Asks the source and some other daemons for a confirmation.
+  void RequestConfirmation(TimePoint now);
   // True when a message shows that its sender has a newer configuration than
   // this daemon and the last request for one is not too recent.
   bool ShouldRequestConfig(std::uint64_t version, TimePoint now);
@@ -269,9 +279,9 @@
   RouteTablePtr table_;
   bool has_servers_ = false;
   ConfigFreshness freshness_;
-  // Confirmations of other daemons that are handled before this time may have
-  // been received earlier.
-  TimePoint trusts_others_from_;
+  // Of the last confirmation.
+  SourceRevision confirmed_revision_;
+  TimePoint confirmation_requested_at_;
   std::map<RequestId, HeldRequest> held_;
   FleetLimiter limiter_;
   std::unordered_map<RequestId, UndecidedRequest> undecided_;
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -366,17 +366,23 @@
 
 // Guards against evidence that is as old as the standstill of the process:
 // messages wait in its sockets meanwhile, and name the age that they had when
-// they were sent.
+// they were sent. Replies to questions of before the standstill do as well.
 TEST_CASE("messages from a standstill do not confirm the configuration",
           "[dispatcher]") {
   Fixture f;
   f.dispatcher.OnConfig(TableWithCustomer(5, "key"), "", f.now);
   f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
   f.dispatcher.OnConfigConfirmed(f.now, {0, 7}, f.now);
+  f.now += seconds(1);
+  const ConfigConfirmed announced{5, milliseconds(5), {0, 7}};
+  f.dispatcher.OnEntryMessage(3, announced, f.now);
+  auto questions = f.delegate.SentToEntries<ConfirmationWanted>();
+  REQUIRE(questions.size() == 1);
   f.now += seconds(4);
-  f.dispatcher.OnStoodStill(f.now);
-  f.dispatcher.OnEntryMessage(3, ConfigConfirmed{5, milliseconds(5), {0, 7}},
-                              f.now);
+  f.dispatcher.OnEntryMessage(3, announced, f.now);
+  ConfigConfirmed reply = announced;
+  reply.asked_at = questions[0].asked_at;
+  f.dispatcher.OnEntryMessage(3, reply, f.now);
   f.Request("/x", "key");
   f.Request("/x", "wrong");
   CHECK(f.delegate.calls.empty());
@@ -385,12 +391,12 @@
   f.dispatcher.OnConfigConfirmed(f.now, {0, 7}, f.now);
   CHECK(f.delegate.calls.size() == 1);
   CHECK(f.delegate.answers.size() == 1);
-  // Other daemons are believed again when the old messages have been read.
+  // Other daemons are believed when they were asked after that.
   f.now += seconds(4);
-  f.dispatcher.OnStoodStill(f.now);
-  f.now += milliseconds(200);
-  f.dispatcher.OnEntryMessage(3, ConfigConfirmed{5, milliseconds(5), {0, 7}},
-                              f.now);
+  f.dispatcher.OnEntryMessage(3, announced, f.now);
+  questions = f.delegate.SentToEntries<ConfirmationWanted>();
+  reply.asked_at = questions.back().asked_at;
+  f.dispatcher.OnEntryMessage(3, reply, f.now);
   f.Request("/x", "wrong");
   CHECK(f.delegate.answers.size() == 2);
 }
@@ -653,6 +659,18 @@
       std::get<ConfigConfirmed>(f.delegate.to_some_daemons.front());
   CHECK(sent.version == 5);
   CHECK(sent.age == milliseconds(5));
+  // It leads others to ask, and the reply serves them.
+  f.now += milliseconds(20);
+  f.dispatcher.OnEntryMessage(4, ConfirmationWanted{milliseconds(123)}, f.now);
+  const auto replies = f.delegate.SentToEntries<ConfigConfirmed>();
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].age == milliseconds(25));
+  CHECK(replies[0].asked_at == milliseconds(123));
+  const auto reply_to = [&replies](const ConfirmationWanted& question) {
+    ConfigConfirmed reply = replies[0];
+    reply.asked_at = question.asked_at;
+    return reply;
+  };
 
   Fixture other;
   other.dispatcher.OnConfig(Table(5, "/old/"), "", other.now);
@@ -665,27 +683,48 @@
       3, ConfigConfirmed{6, milliseconds(5), {0, 7}}, other.now);
   CHECK(other.delegate.answers.empty());
   CHECK(other.delegate.SentToEntries<ConfigWanted>().size() == 1);
+  other.now += milliseconds(50);
   other.dispatcher.OnEntryMessage(3, sent, other.now);
+  CHECK(other.delegate.answers.empty());
+  const auto asked = other.delegate.SentToEntries<ConfirmationWanted>();
+  REQUIRE(asked.size() == 1);
+  other.dispatcher.OnEntryMessage(3, reply_to(asked[0]), other.now);
   CHECK(other.delegate.answers.size() == 1);
   CHECK(other.delegate.confirmed_elsewhere == SourceRevision{0, 7});
   // A daemon that knows its configuration to be recent learns of a newer one by
   // itself.
   other.dispatcher.OnEntryMessage(3, ConfigConfirmed{7, {}, {0, 9}}, other.now);
   CHECK(other.delegate.SentToEntries<ConfigWanted>().size() == 1);
-  // It is passed on once.
+  // It is passed on once, and no longer asked for.
+  const auto count_announced = [&other] {
+    return std::count_if(
+        other.delegate.to_some_daemons.begin(),
+        other.delegate.to_some_daemons.end(), [](const LinkMessage& message) {
+          return std::holds_alternative<ConfigConfirmed>(message);
+        });
+  };
+  CHECK(count_announced() == 1);
+  other.now += milliseconds(50);
   other.dispatcher.OnEntryMessage(4, sent, other.now);
-  CHECK(other.delegate.to_some_daemons.size() == 1);
+  CHECK(count_announced() == 1);
+  CHECK(other.delegate.SentToEntries<ConfirmationWanted>().size() == 1);
+  // A request that has to wait makes the daemon ask some others.
   other.now += seconds(5);
   other.Request("/new/x");
   CHECK(other.delegate.answers.size() == 1);
-  other.dispatcher.OnOwnerMessage("10.0.0.2:7100", sent, other.now);
+  REQUIRE(std::holds_alternative<ConfirmationWanted>(
+      other.delegate.to_some_daemons.back()));
+  other.dispatcher.OnOwnerMessage("10.0.0.2:7100",
+                                  reply_to(std::get<ConfirmationWanted>(
+                                      other.delegate.to_some_daemons.back())),
+                                  other.now);
   CHECK(other.delegate.answers.size() == 2);
 }
 
 TEST_CASE(
     "a confirmation that waited on its way does not make a daemon refuse a "
     "route that was added meanwhile",
-    "[dispatcher][.late_confirmation]") {
+    "[dispatcher]") {
   Fixture f;
   f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
   const ConfigConfirmed sent{5, milliseconds(5), {0, 7}};
--- a/packages/dispatch/link_message.h
+++ b/packages/dispatch/link_message.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -206,11 +207,21 @@
 };
 
 // In both directions: when this was sent, no configuration newer than this
-// version had been published `age` before, at this revision of the source.
+// version had been published `age` before, at this revision of the source. How
+// long the message is on its way is unknown, so only the reply to a question
+// bounds the age at the receiver.
 struct ConfigConfirmed {
   std::uint64_t version = 0;
   std::chrono::milliseconds age{0};
   SourceRevision revision;
+  // As in the question that this answers; nothing when nobody asked.
+  std::optional<std::chrono::milliseconds> asked_at;
+};
+
+// In both directions: asks for a ConfigConfirmed, if the receiver has any.
+struct ConfirmationWanted {
+  // When this was sent, on the sender's own clock.
+  std::chrono::milliseconds asked_at{0};
 };
 
 // Entry to owner: the list shows that this backend server, which it had shown
@@ -250,6 +261,7 @@
                                  Ping,
                                  Pong,
                                  ConfigConfirmed,
+                                 ConfirmationWanted,
                                  ServerLeaving,
                                  CreditRequest,
                                  CreditReply>;
--- a/packages/proxy/link.capnp
+++ b/packages/proxy/link.capnp
@@ -89,6 +89,8 @@
   ageMs @1 :UInt32;
   era @2 :UInt64;
   revision @3 :UInt64;
+  # 0 when nobody asked.
+  askedAtMs @4 :UInt64;
 }
 
 struct ServerLeaving { server @0 :Text; }
@@ -132,5 +134,7 @@
     serverLeaving @15 :ServerLeaving;
     creditRequest @16 :CreditRequest;
     creditReply @17 :CreditReply;
+    # The time of the question, in milliseconds of the sender's clock.
+    confirmationWanted @18 :UInt64;
   }
 }
--- a/packages/proxy/link_codec.cc
+++ b/packages/proxy/link_codec.cc
@@ -356,12 +356,24 @@
   builder.setAgeMs(Saturated<std::uint32_t>(confirmed.age.count()));
   builder.setEra(confirmed.revision.era);
   builder.setRevision(confirmed.revision.number);
+  if (confirmed.asked_at) {
+    builder.setAskedAtMs(Saturated<std::uint64_t>(confirmed.asked_at->count()));
+  }
 }
 
 ConfigConfirmed Decode(link::ConfigConfirmed::Reader in) {
-  return {in.getVersion(),
-          milliseconds(in.getAgeMs()),
-          {in.getEra(), in.getRevision()}};
+  ConfigConfirmed confirmed{in.getVersion(),
+                            milliseconds(in.getAgeMs()),
+                            {in.getEra(), in.getRevision()},
+                            std::nullopt};
+  if (in.getAskedAtMs() > 0) {
+    confirmed.asked_at = milliseconds(in.getAskedAtMs());
+  }
+  return confirmed;
+}
+
+void Encode(const ConfirmationWanted& wanted, link::Message::Builder out) {
+  out.setConfirmationWanted(Saturated<std::uint64_t>(wanted.asked_at.count()));
 }
 
 void Encode(const ServerLeaving& leaving, link::Message::Builder out) {
@@ -437,6 +449,8 @@
       return Pong{};
     case link::Message::CONFIG_CONFIRMED:
       return Decode(in.getConfigConfirmed());
+    case link::Message::CONFIRMATION_WANTED:
+      return ConfirmationWanted{milliseconds(in.getConfirmationWanted())};
     case link::Message::SERVER_LEAVING:
       return ServerLeaving{ToStdString(in.getServerLeaving().getServer())};
     case link::Message::CREDIT_REQUEST:
--- a/packages/proxy/link_codec_test.cc
+++ b/packages/proxy/link_codec_test.cc
@@ -67,6 +67,11 @@
   CHECK(confirmed.version == 7);
   CHECK(confirmed.revision == SourceRevision{2, 55});
   CHECK(confirmed.age == std::chrono::milliseconds(12));
+  CHECK_FALSE(confirmed.asked_at);
+  CHECK(RoundTrip(ConfigConfirmed{7, {}, {}, std::chrono::milliseconds(5)})
+            .asked_at == std::chrono::milliseconds(5));
+  CHECK(RoundTrip(ConfirmationWanted{std::chrono::milliseconds(1'234)})
+            .asked_at == std::chrono::milliseconds(1'234));
 
   CHECK(RoundTrip(ServerLeaving{"s"}).server == "s");
 
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -49,9 +49,6 @@
 
 // How often the settings file is checked and dropped log lines are reported.
 constexpr milliseconds kHousekeepingPeriod{1000};
-// The process has stood still when it handled nothing for this time, although
-// the housekeeping was due.
-constexpr milliseconds kMinStandstill{1500};
 constexpr milliseconds kDrainCheckPeriod{100};
 // Shortest drain. Callers are sent elsewhere after two failed readiness probes,
 // one second apart, and the stopping daemon serves them until then.
@@ -275,9 +272,6 @@
   void OnReachabilityChanged(bool is_reached) override;
   void OnSourceEvent(LogEvent event) override;
 
-  // The time, for the handling of an input. Tells the dispatcher when the
-  // process has stood still before.
-  TimePoint BeginInput();
   void OnReadinessProbe(RequestId id, const HttpRequest& request);
   void OnMetricsRead(RequestId id);
   // The memory held for others and the callers that were cut, as metrics.
@@ -326,8 +320,6 @@
   ServerRoster roster_;
   // Id of this instance's backend server; empty when none is listed.
   std::string watched_server_;
-  // When an input was last handled.
-  TimePoint last_input_at_ = TimePoint::max();
   // When the source was last found not to answer.
   TimePoint source_lost_at_;
   // The servers last passed to the dispatcher.
@@ -466,20 +458,10 @@
   }
 }
 
-TimePoint ProxyDaemon::Impl::BeginInput() {
-  const TimePoint now = clock_.now();
-  if (last_input_at_ != TimePoint::max() &&
-      now - last_input_at_ > kMinStandstill) {
-    dispatcher_.OnStoodStill(now);
-  }
-  last_input_at_ = now;
-  return now;
-}
-
 void ProxyDaemon::Impl::OnRequest(RequestId id,
                                   HttpRequest request,
                                   TimePoint first_byte_at) {
-  const TimePoint now = BeginInput();
+  const TimePoint now = clock_.now();
   EntryRequest entry =
       dialect_.ReadCallerRequest(std::move(request), settings_.service);
   entry.id = id;
@@ -522,7 +504,7 @@
 
 void ProxyDaemon::Impl::OnOwnerMessage(const PeerAddress& owner,
                                        LinkMessage message) {
-  dispatcher_.OnOwnerMessage(owner, std::move(message), BeginInput());
+  dispatcher_.OnOwnerMessage(owner, std::move(message), clock_.now());
   ArmWakeTimer();
 }
 
@@ -534,7 +516,7 @@
 }
 
 void ProxyDaemon::Impl::OnEntryMessage(LinkId link, LinkMessage message) {
-  dispatcher_.OnEntryMessage(link, std::move(message), BeginInput());
+  dispatcher_.OnEntryMessage(link, std::move(message), clock_.now());
   ArmWakeTimer();
 }
 
@@ -794,7 +776,6 @@
 }
 
 void ProxyDaemon::Impl::RunHousekeeping() {
-  BeginInput();
   if (const std::uint64_t dropped = log_budget_.TakeDroppedCount()) {
     WriteLog({LogEventId::kLogLinesDropped, std::to_string(dropped), ""});
   }
