Refuse nothing as unknown once a newer configuration was heard of

A daemon with a proof of less than 1.7 s answered 404 although a message had named a newer version. It left that version to its watch, which may be late.

The request now waits as without a proof, the source is read at once, and a daemon that replies to the question with the newer version is asked for its text.

newer_version_heard passes and becomes an ordinary test. The test of shared confirmations let a daemon hear of version 6 and then refuse by version 5; its checks of what is asked for stand in a test of their own.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -152,7 +152,8 @@
       reply(MakeConfirmationRequest(now));
     }
   } else if (confirmed.version > own &&
-             (!freshness_.IsRecent(now) || !freshness_.is_source_reachable()) &&
+             (!freshness_.IsRecent(now) || !freshness_.is_source_reachable() ||
+              confirmed.asked_at) &&
              ShouldRequestConfig(confirmed.version, now)) {
     // Otherwise the source itself reports the newer version.
     reply(ConfigWanted{});
@@ -203,7 +204,12 @@
 
 Dispatcher::HoldReason Dispatcher::FindHoldReason(const EntryRequest& request,
                                                   TimePoint now) const {
-  if (table_ == nullptr || freshness_.IsRecent(now)) {
+  if (table_ == nullptr) {
+    return HoldReason::kNone;
+  }
+  const bool is_outdated =
+      freshness_.newest_heard_version() > table_->version();
+  if (freshness_.IsRecent(now) && !is_outdated) {
     return HoldReason::kNone;
   }
   const DispatchRoutePtr route =
@@ -212,7 +218,8 @@
   if (route == nullptr || !table_->Admits(*route, customer)) {
     return HoldReason::kWouldBeRefused;
   }
-  return customer != nullptr && freshness_.is_source_reachable()
+  return customer != nullptr && freshness_.is_source_reachable() &&
+                 !freshness_.IsRecent(now)
              ? HoldReason::kMayBeOutdated
              : HoldReason::kNone;
 }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -214,7 +214,8 @@
   // Tells the owners of listed servers that this new list shows as leaving.
   void NotifyOwnersOfLeaving(const std::vector<ListedServer>& servers);
   // That the source does not answer this daemon is no reason to refuse a
-  // request: it may answer others, and the operator.
+  // request: it may answer others, and the operator. Nor is a recent proof once
+  // a newer version has been heard of.
   HoldReason FindHoldReason(const EntryRequest& request, TimePoint now) const;
   // How long a request may wait for this reason.
   std::chrono::milliseconds MaxHoldTime(HoldReason reason) const;
@@ -256,8 +257,8 @@
   // Another daemon knows that its configuration was the newest. As the message
   // may have been on its way for long, it only leads to a question, whose reply
   // is at most as old as the question. The text of a newer configuration is
-  // requested only if this daemon could not learn of it by itself: it is large,
-  // and all daemons hear of it within milliseconds.
+  // requested only if this daemon could not learn of it by itself, or has
+  // asked: it is large, and all daemons hear of it within milliseconds.
   void HandleConfirmation(const ConfigConfirmed& confirmed,
                           const Reply& reply,
                           TimePoint now);
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -676,13 +676,10 @@
   other.dispatcher.OnConfig(Table(5, "/old/"), "", other.now);
   other.Request("/new/x");
   CHECK(other.delegate.answers.empty());
-  // It is no evidence about another version, and names a newer one.
+  // It is no evidence about another version.
   other.dispatcher.OnEntryMessage(
       3, ConfigConfirmed{4, milliseconds(5), {0, 7}}, other.now);
-  other.dispatcher.OnEntryMessage(
-      3, ConfigConfirmed{6, milliseconds(5), {0, 7}}, other.now);
   CHECK(other.delegate.answers.empty());
-  CHECK(other.delegate.SentToEntries<ConfigWanted>().size() == 1);
   other.now += milliseconds(50);
   other.dispatcher.OnEntryMessage(3, sent, other.now);
   CHECK(other.delegate.answers.empty());
@@ -691,10 +688,6 @@
   other.dispatcher.OnEntryMessage(3, reply_to(asked[0]), other.now);
   CHECK(other.delegate.answers.size() == 1);
   CHECK(other.delegate.confirmed_elsewhere == SourceRevision{0, 7});
-  // A daemon that knows its configuration to be recent learns of a newer one by
-  // itself.
-  other.dispatcher.OnEntryMessage(3, ConfigConfirmed{7, {}, {0, 9}}, other.now);
-  CHECK(other.delegate.SentToEntries<ConfigWanted>().size() == 1);
   // It is passed on once, and no longer asked for.
   const auto count_announced = [&other] {
     return std::count_if(
@@ -719,6 +712,22 @@
                                       other.delegate.to_some_daemons.back())),
                                   other.now);
   CHECK(other.delegate.answers.size() == 2);
+  // A daemon that knows its configuration to be recent learns of a newer one by
+  // itself.
+  other.dispatcher.OnEntryMessage(3, ConfigConfirmed{7, {}, {0, 9}}, other.now);
+  CHECK(other.delegate.SentToEntries<ConfigWanted>().empty());
+}
+
+TEST_CASE(
+    "a daemon without a recent confirmation asks for a newer configuration",
+    "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
+  f.Request("/new/x");
+  f.dispatcher.OnEntryMessage(3, ConfigConfirmed{6, milliseconds(5), {0, 7}},
+                              f.now);
+  CHECK(f.delegate.answers.empty());
+  CHECK(f.delegate.SentToEntries<ConfigWanted>().size() == 1);
 }
 
 TEST_CASE(
@@ -737,13 +746,24 @@
 
 TEST_CASE(
     "a route is not refused as unknown once a newer configuration was heard of",
-    "[dispatcher][.newer_version_heard]") {
+    "[dispatcher]") {
   Fixture f;
   f.dispatcher.OnConfig(Table(5, "/old/"), "", f.now);
+  f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
   f.dispatcher.OnConfigConfirmed(f.now, {0, 7}, f.now);
   f.dispatcher.OnEntryMessage(3, ConfigConfirmed{6, {}, {0, 8}}, f.now);
   f.Request("/new/x");
   CHECK(f.delegate.answers.empty());
+  // The daemon asks others, and follows the one that replies.
+  REQUIRE(f.delegate.to_some_daemons.size() == 2);
+  const auto question =
+      std::get<ConfirmationWanted>(f.delegate.to_some_daemons.back());
+  CHECK(f.delegate.SentToEntries<ConfigWanted>().empty());
+  f.dispatcher.OnEntryMessage(
+      4, ConfigConfirmed{6, {}, {0, 8}, question.asked_at}, f.now);
+  CHECK(f.delegate.SentToEntries<ConfigWanted>().size() == 1);
+  f.dispatcher.OnConfig(Table(6, "/new/"), "", f.now);
+  CHECK(f.delegate.calls.size() == 1);
 }
 
 TEST_CASE("the owner of a server that is seen to leave is told",
