Log by which configuration a request ran, and how old its proof was

Event 600 named the version in force when a request ended, which may be newer than the one whose route it took, and no proof. Both are now those of the moment at which the request was passed on.

--- a/packages/dispatch/config_freshness.cc
+++ b/packages/dispatch/config_freshness.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 namespace vanillafall {
 namespace {
@@ -63,12 +62,7 @@
 }
 
 std::vector<LogField> ConfigFreshness::Describe(TimePoint now) const {
-  std::string age_ms;
-  if (const std::optional<Duration> age = Age(now)) {
-    age_ms = std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(*age).count());
-  }
-  return {{"config_age_ms", age_ms},
+  return {{"config_age_ms", FormatAge(Age(now))},
           {"config_proof", confirmed_at_ ? ToString(origin_) : ""},
           {"config_heard", std::to_string(newest_heard_version_)},
           {"source", is_source_reachable_ ? "reachable" : "unreachable"}};
@@ -87,6 +81,13 @@
   return IsRecent(now) && continuous_since_ <= since;
 }
 
+std::string FormatAge(const std::optional<Duration>& age) {
+  return age ? std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(*age)
+                       .count())
+             : "";
+}
+
 double ConfigFreshness::DrawPart() {
   const double growth =
       std::log(static_cast<double>(std::max<std::size_t>(daemons_, 1))) + 1;
--- a/packages/dispatch/config_freshness.h
+++ b/packages/dispatch/config_freshness.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "base/clock.h"
@@ -85,6 +86,9 @@
   TimePoint last_input_at_;
 };
 
+// Milliseconds, as a field of a log event; empty when there is no age.
+std::string FormatAge(const std::optional<Duration>& age);
+
 }  // namespace vanillafall
 
 #endif  // DISPATCH_CONFIG_FRESHNESS_H_
--- a/packages/dispatch/request_entry.cc
+++ b/packages/dispatch/request_entry.cc
@@ -169,6 +169,8 @@
   PendingRequest& pending = pending_[id];
   pending.entry_request = std::move(request);
   pending.route = route;
+  pending.config_version = table_->version();
+  pending.config_age = freshness_.Age(now);
   pending.service = route->DrawService(random);
   pending.priority =
       customer ? customer->priority.value_or(route->priority) : route->priority;
@@ -729,7 +731,8 @@
                   {"status", std::to_string(answer.response.status)},
                   {"service", pending.service},
                   {"route", pending.route->name},
-                  {"config", std::to_string(table_->version())},
+                  {"config", std::to_string(pending.config_version)},
+                  {"config_age_ms", FormatAge(pending.config_age)},
                   {"took_ms", std::to_string(took.count())},
                   {"left_ms", std::to_string(left.count())},
                   {"priority", std::to_string(pending.priority)},
--- a/packages/dispatch/request_entry.h
+++ b/packages/dispatch/request_entry.h
@@ -156,6 +156,10 @@
   struct PendingRequest {
     EntryRequest entry_request;
     DispatchRoutePtr route;
+    // The configuration that the route is of, and how long before the request
+    // was passed on it was last known to be the newest.
+    std::uint64_t config_version = 0;
+    std::optional<Duration> config_age;
     std::string service;
     // Name of the customer; empty when the request belongs to none. Its
     // CustomerPtr would keep all customers of an old configuration in memory.
