Request the text of a configuration from one daemon at a time

A daemon that was behind stayed behind for seconds, ran requests by old routes, and got no answers from the store meanwhile. Each message of a daemon with a newer version made it request the text again, every 100 ms, as if a reply took a round trip. The text of a large configuration takes 0.2 to 0.3 s on a link of 10 Mbit/s, so the copies filled the link, and the store's answers waited behind them.

The next daemon is asked when the link to the first is lost, or after 1 s.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -10,9 +10,10 @@
 
 // The daemon's link to itself. Ids of links from other daemons start at 1.
 constexpr LinkId kOwnLink = 0;
-// Minimum time between two requests for a newer configuration: a reply takes
-// one round trip.
-constexpr std::chrono::milliseconds kMinConfigRequestPeriod{100};
+// A daemon that has not sent the text of its configuration after this time is
+// taken for silent. The text of a large one takes several hundred milliseconds
+// on a slow link.
+constexpr std::chrono::milliseconds kConfigReplyTimeout{1000};
 // Minimum time between two questions for a confirmation: a reply takes one
 // round trip.
 constexpr std::chrono::milliseconds kMinConfirmationRequestPeriod{50};
@@ -82,6 +83,7 @@
   }
   table_ = table;
   freshness_.OnVersionHeard(table->version());
+  config_requested_from_.reset();
   entry_.Configure(table);
   owner_.SetConfigVersion(table->version());
   LogEvent event{LogEventId::kConfigInForce,
@@ -136,7 +138,7 @@
 }
 
 void Dispatcher::HandleConfirmation(const ConfigConfirmed& confirmed,
-                                    const Reply& reply,
+                                    const Sender& sender,
                                     TimePoint now) {
   freshness_.OnVersionHeard(confirmed.version);
   const std::uint64_t own = table_ ? table_->version() : 0;
@@ -149,25 +151,25 @@
                         confirmed.revision, now);
     } else if (freshness_.IsNews(now - confirmed.age) &&
                TryTakeConfirmationRequest(now)) {
-      reply(MakeConfirmationRequest(now));
+      SendBack(sender, MakeConfirmationRequest(now));
     }
   } else if (confirmed.version > own &&
              (!freshness_.IsRecent(now) || !freshness_.is_source_reachable() ||
-              confirmed.asked_at) &&
-             ShouldRequestConfig(confirmed.version, now)) {
+              confirmed.asked_at)) {
     // Otherwise the source itself reports the newer version.
-    reply(ConfigWanted{});
+    RequestConfigIfNewer(sender, confirmed.version, now);
   }
 }
 
 void Dispatcher::AnswerConfirmationRequest(const ConfirmationWanted& wanted,
-                                           const Reply& reply,
+                                           const Sender& sender,
                                            TimePoint now) {
   const std::optional<Duration> age = freshness_.Age(now);
   if (table_ && age) {
-    reply(ConfigConfirmed{table_->version(),
-                          std::chrono::ceil<std::chrono::milliseconds>(*age),
-                          confirmed_revision_, wanted.asked_at});
+    SendBack(sender,
+             ConfigConfirmed{table_->version(),
+                             std::chrono::ceil<std::chrono::milliseconds>(*age),
+                             confirmed_revision_, wanted.asked_at});
   }
 }
 
@@ -455,6 +457,7 @@
 }
 
 void Dispatcher::OnOwnerLinkLost(const PeerAddress& owner, TimePoint now) {
+  OnLinkToConfigLost(owner);
   entry_.OnLinkLost(owner, random_, now);
   limiter_.OnLinkLost(owner, now);
   DeliverPendingMessages(now);
@@ -475,6 +478,7 @@
 }
 
 void Dispatcher::OnEntryLinkLost(LinkId link, TimePoint now) {
+  OnLinkToConfigLost(link);
   owner_.OnEntryLinkLost(link, now);
   DeliverPendingMessages(now);
 }
@@ -534,14 +538,9 @@
 void Dispatcher::HandleAsOwner(LinkId link,
                                LinkMessage message,
                                TimePoint now) {
-  const Reply reply = [this, link](LinkMessage answer) {
-    ReplyTo(link, std::move(answer));
-  };
-  const auto request_config_if_newer = [this, &reply,
-                                        now](std::uint64_t version) {
-    if (ShouldRequestConfig(version, now)) {
-      reply(ConfigWanted{});
-    }
+  const Sender sender = link;
+  const auto request_config_if_newer = [&](std::uint64_t version) {
+    RequestConfigIfNewer(sender, version, now);
   };
   std::visit(
       Overloaded{
@@ -556,8 +555,8 @@
           [&](CancelRun& cancel) { owner_.OnCancel(cancel.id, now); },
           [&](Resume& resume) { owner_.OnResume(link, resume, now); },
           [&](Hello& hello) { request_config_if_newer(hello.config_version); },
-          [&](Ping&) { reply(Pong{}); },
-          [&](ConfigWanted&) { reply(delegate_.GetConfigText()); },
+          [&](Ping&) { ReplyTo(link, Pong{}); },
+          [&](ConfigWanted&) { SendBack(sender, delegate_.GetConfigText()); },
           [&](ConfigText& config) { delegate_.OnConfigText(config); },
           [&](CrashNotice& notice) { crash_guard_.OnNotice(notice, now); },
           [&](ServerLeaving& leaving) {
@@ -568,10 +567,10 @@
             }
           },
           [&](ConfigConfirmed& confirmed) {
-            HandleConfirmation(confirmed, reply, now);
+            HandleConfirmation(confirmed, sender, now);
           },
           [&](ConfirmationWanted& wanted) {
-            AnswerConfirmationRequest(wanted, reply, now);
+            AnswerConfirmationRequest(wanted, sender, now);
           },
           [&](CreditRequest& request) {
             request_config_if_newer(request.config_version);
@@ -585,44 +584,41 @@
                                LinkMessage message,
                                TimePoint now) {
   entry_.OnMessageReceived(owner, now);
-  const Reply reply = [this, &owner](LinkMessage answer) {
-    SendToOwner(owner, std::move(answer));
-  };
+  const Sender sender = owner;
   const auto request_config_if_newer = [&](std::uint64_t version) {
-    if (ShouldRequestConfig(version, now)) {
-      reply(ConfigWanted{});
-    }
+    RequestConfigIfNewer(sender, version, now);
   };
   std::visit(
-      Overloaded{[&](Grant& grant) {
-                   request_config_if_newer(grant.config_version);
-                   entry_.OnGrant(grant, random_, now);
-                 },
-                 [&](Deny& deny) {
-                   request_config_if_newer(deny.config_version);
-                   entry_.OnDeny(deny, random_, now);
-                 },
-                 [&](RunResult& result) {
-                   request_config_if_newer(result.config_version);
-                   entry_.OnResult(std::move(result), random_, now);
-                 },
-                 [&](Hello& hello) {
-                   request_config_if_newer(hello.config_version);
-                   entry_.OnHello(owner, hello, now);
-                 },
-                 [&](ConfigWanted&) { reply(delegate_.GetConfigText()); },
-                 [&](ConfigConfirmed& confirmed) {
-                   HandleConfirmation(confirmed, reply, now);
-                 },
-                 [&](ConfirmationWanted& wanted) {
-                   AnswerConfirmationRequest(wanted, reply, now);
-                 },
-                 [&](ConfigText& config) { delegate_.OnConfigText(config); },
-                 [&](CreditReply& reply) {
-                   request_config_if_newer(reply.config_version);
-                   limiter_.OnCreditReply(owner, reply, now);
-                 },
-                 [](auto&) {}},
+      Overloaded{
+          [&](Grant& grant) {
+            request_config_if_newer(grant.config_version);
+            entry_.OnGrant(grant, random_, now);
+          },
+          [&](Deny& deny) {
+            request_config_if_newer(deny.config_version);
+            entry_.OnDeny(deny, random_, now);
+          },
+          [&](RunResult& result) {
+            request_config_if_newer(result.config_version);
+            entry_.OnResult(std::move(result), random_, now);
+          },
+          [&](Hello& hello) {
+            request_config_if_newer(hello.config_version);
+            entry_.OnHello(owner, hello, now);
+          },
+          [&](ConfigWanted&) { SendBack(sender, delegate_.GetConfigText()); },
+          [&](ConfigConfirmed& confirmed) {
+            HandleConfirmation(confirmed, sender, now);
+          },
+          [&](ConfirmationWanted& wanted) {
+            AnswerConfirmationRequest(wanted, sender, now);
+          },
+          [&](ConfigText& config) { delegate_.OnConfigText(config); },
+          [&](CreditReply& reply) {
+            request_config_if_newer(reply.config_version);
+            limiter_.OnCreditReply(owner, reply, now);
+          },
+          [](auto&) {}},
       message);
 }
 
@@ -632,14 +628,33 @@
                                                owner_.repeat_count() + 1, now));
 }
 
-bool Dispatcher::ShouldRequestConfig(std::uint64_t version, TimePoint now) {
+void Dispatcher::RequestConfigIfNewer(const Sender& sender,
+                                      std::uint64_t version,
+                                      TimePoint now) {
   freshness_.OnVersionHeard(version);
   const std::uint64_t own = table_ ? table_->version() : 0;
-  if (version <= own || now < config_requested_at_ + kMinConfigRequestPeriod) {
-    return false;
+  const bool is_awaited = config_requested_from_ &&
+                          now < config_requested_at_ + kConfigReplyTimeout;
+  if (version <= own || is_awaited) {
+    return;
   }
   config_requested_at_ = now;
-  return true;
+  config_requested_from_ = sender;
+  SendBack(sender, ConfigWanted{});
+}
+
+void Dispatcher::OnLinkToConfigLost(const Sender& sender) {
+  if (config_requested_from_ == sender) {
+    config_requested_from_.reset();
+  }
+}
+
+void Dispatcher::SendBack(const Sender& sender, LinkMessage message) {
+  if (const LinkId* link = std::get_if<LinkId>(&sender)) {
+    ReplyTo(*link, std::move(message));
+  } else {
+    SendToOwner(std::get<PeerAddress>(sender), std::move(message));
+  }
 }
 
 void Dispatcher::DeliverPendingMessages(TimePoint now) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -134,8 +133,8 @@
   }
 
  private:
-  // Sends a message back to where another one came from.
-  using Reply = std::function<void(LinkMessage)>;
+  // Where a message came from: the link of an entry, or an owner.
+  using Sender = std::variant<LinkId, PeerAddress>;
 
   // Messages that this daemon sends to itself, by the receiving role.
   struct ToSelfAsOwner {
@@ -260,19 +259,26 @@
   // requested only if this daemon could not learn of it by itself, or has
   // asked: it is large, and all daemons hear of it within milliseconds.
   void HandleConfirmation(const ConfigConfirmed& confirmed,
-                          const Reply& reply,
+                          const Sender& sender,
                           TimePoint now);
   void AnswerConfirmationRequest(const ConfirmationWanted& wanted,
-                                 const Reply& reply,
+                                 const Sender& sender,
                                  TimePoint now);
   // Whether to ask another daemon for a confirmation now.
   bool TryTakeConfirmationRequest(TimePoint now);
   static ConfirmationWanted MakeConfirmationRequest(TimePoint now);
   // Asks the source and some other daemons for a confirmation.
   void RequestConfirmation(TimePoint now);
-  // True when a message shows that its sender has a newer configuration than
-  // this daemon and the last request for one is not too recent.
-  bool ShouldRequestConfig(std::uint64_t version, TimePoint now);
+  // Requests the text of the sender's configuration if its version is newer and
+  // no other daemon is about to send one. A large text fills a slow link, so no
+  // second one is requested while the first may be on its way.
+  void RequestConfigIfNewer(const Sender& sender,
+                            std::uint64_t version,
+                            TimePoint now);
+  // A daemon can't send the text that was requested from it any more.
+  void OnLinkToConfigLost(const Sender& sender);
+  // Sends a message back to where another one came from.
+  void SendBack(const Sender& sender, LinkMessage message);
 
   const Identity identity_;
   DispatchDelegate& delegate_;
@@ -293,6 +299,8 @@
   std::uint64_t refused_count_ = 0;
   TimePoint next_limit_log_;
   TimePoint config_requested_at_;
+  // Nothing once the daemon that was asked can't reply any more.
+  std::optional<Sender> config_requested_from_;
   ServerDirectory directory_;
   CrashGuard crash_guard_;
   BackendOwner owner_;
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -124,6 +124,31 @@
   CHECK(f.delegate.SentToEntries<ConfigText>().back().text == "text");
 }
 
+// Guards against a slow link that is filled with copies of one large text.
+TEST_CASE("a text that is on its way is not requested again", "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
+  const auto count_requests = [&f] {
+    return f.delegate.SentToEntries<ConfigWanted>().size();
+  };
+  for (int i = 0; i < 10; ++i) {
+    f.dispatcher.OnEntryMessage(3, Hello{99, 6}, f.now);
+    f.now += milliseconds(99);
+  }
+  CHECK(count_requests() == 1);
+  // The daemon that was asked may have stopped.
+  f.dispatcher.OnEntryLinkLost(3, f.now);
+  f.dispatcher.OnEntryMessage(4, Hello{98, 6}, f.now);
+  CHECK(count_requests() == 2);
+  f.dispatcher.OnEntryLinkLost(5, f.now);
+  f.dispatcher.OnEntryMessage(4, Hello{98, 6}, f.now);
+  CHECK(count_requests() == 2);
+  // It may also be silent.
+  f.now += seconds(1);
+  f.dispatcher.OnEntryMessage(4, Hello{98, 6}, f.now);
+  CHECK(count_requests() == 3);
+}
+
 TEST_CASE(
     "a request without a route is not refused before the source has confirmed "
     "that there is none",
