--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -457,7 +457,7 @@
 }
 
 void Dispatcher::OnOwnerLinkLost(const PeerAddress& owner, TimePoint now) {
-  OnLinkToConfigLost(owner);
+  OnConfigSenderLost(owner);
   entry_.OnLinkLost(owner, random_, now);
   limiter_.OnLinkLost(owner, now);
   DeliverPendingMessages(now);
@@ -478,7 +478,7 @@
 }
 
 void Dispatcher::OnEntryLinkLost(LinkId link, TimePoint now) {
-  OnLinkToConfigLost(link);
+  OnConfigSenderLost(link);
   owner_.OnEntryLinkLost(link, now);
   DeliverPendingMessages(now);
 }
@@ -643,7 +643,7 @@
   SendBack(sender, ConfigWanted{});
 }
 
-void Dispatcher::OnLinkToConfigLost(const Sender& sender) {
+void Dispatcher::OnConfigSenderLost(const Sender& sender) {
   if (config_requested_from_ == sender) {
     config_requested_from_.reset();
   }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -276,7 +276,7 @@
                             std::uint64_t version,
                             TimePoint now);
   // A daemon can't send the text that was requested from it any more.
-  void OnLinkToConfigLost(const Sender& sender);
+  void OnConfigSenderLost(const Sender& sender);
   // Sends a message back to where another one came from.
   void SendBack(const Sender& sender, LinkMessage message);
 
