Review: case 9 breaks the rule for either size of a megabyte

Cause: one answer without end makes a daemon use 269 million bytes, more than 260 MB only if a megabyte is 1,000,000 bytes. Ordinary clients use both daemons.

--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -27,6 +27,8 @@
 
 constexpr milliseconds kPatience{10'000};
 constexpr std::chrono::seconds kMaxTime{110};
+// After each mebibyte of a slow answer without end.
+constexpr milliseconds kSlowPause{80};
 // For the body of a request at an upstream.
 constexpr milliseconds kBodyTime{10'000};
 
@@ -464,7 +466,9 @@
         !options_.endless_path.empty() &&
         head->first_line.find(options_.endless_path) != std::string::npos;
     if (is_endless) {
-      SendWithoutEnd(connection, echo);
+      const bool is_slow = head->first_line.find(options_.endless_path +
+                                                 "-slow") != std::string::npos;
+      SendWithoutEnd(connection, echo, is_slow ? kSlowPause : milliseconds(0));
       --busy_;
       return;
     }
@@ -489,13 +493,16 @@
   }
 }
 
-void Upstream::SendWithoutEnd(Connection& connection, const std::string& echo) {
-  constexpr std::size_t kBlock = std::size_t{256} * 1024;
+void Upstream::SendWithoutEnd(Connection& connection,
+                              const std::string& echo,
+                              milliseconds pause) {
+  constexpr std::size_t kBlock = std::size_t{1024} * 1024;
   const std::string block(kBlock, 'e');
   std::size_t sent = 0;
   connection.Send("HTTP/1.1 200 OK\r\n" + echo + "\r\n");
   while (connection.Send(block)) {
     sent += kBlock;
+    std::this_thread::sleep_for(pause);
   }
   record_.Add("an answer of " + options_.id +
               " was closed by its caller after " + std::to_string(sent) +
--- a/review/fleet-2/fleet.h
+++ b/review/fleet-2/fleet.h
@@ -160,7 +160,8 @@
     // After this time, idle connections are closed.
     milliseconds idle_time{10'000};
     // Answers to requests whose path contains this text have no length and
-    // never end, until the caller closes; empty for none.
+    // never end, until the caller closes; empty for none. Where "-slow" follows
+    // they come at about 12 MiB a second, else as fast as they are read.
     std::string endless_path;
   };
   Upstream(Options options, Record& record)
@@ -177,7 +178,10 @@
 
  private:
   void Serve(Connection& connection);
-  void SendWithoutEnd(Connection& connection, const std::string& echo);
+  // Pauses after each mebibyte.
+  void SendWithoutEnd(Connection& connection,
+                      const std::string& echo,
+                      milliseconds pause);
 
   const Options options_;
   std::atomic<std::int64_t> work_ms_;
