Review: name the sources of the new cases apart from the earlier ones

review/build.sh builds every review/*/case.cc against the stand-ins of the earlier review, so the new files made it fail.

--- a/review/6/case.cc
+++ b/review/6/scenario.cc
@@ -1,6 +1,6 @@
 // An empty body in chunks whose last bytes arrive one by one.
 //
-//   case PROGRAM DIRECTORY TROUBLE
+//   case-N PROGRAM DIRECTORY TROUBLE
 
 #include <string>
 #include <thread>
--- a/review/7/case.cc
+++ b/review/7/scenario.cc
@@ -1,7 +1,7 @@
 // Daemons stand still for a moment, again and again, while upstreams get new
 // connections.
 //
-//   case PROGRAM DIRECTORY TROUBLE
+//   case-N PROGRAM DIRECTORY TROUBLE
 
 #include <csignal>
 #include <random>
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,8 +9,7 @@
 CXX="${CXX:-g++}"
 FLAGS=(-std=c++20 -O2 -Wall -Wextra -I. -pthread)
 "$CXX" "${FLAGS[@]}" -c review/fleet-2/fleet.cc -o "$OUT/fleet.o"
-for source in review/*/case.cc; do
+for source in review/*/scenario.cc; do
   number="$(basename "$(dirname "$source")")"
-  [ "$number" -ge 6 ] || continue
   "$CXX" "${FLAGS[@]}" "$source" "$OUT/fleet.o" -o "$OUT/case-$number"
 done
