--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -600,10 +600,11 @@
 }
 
 bool Fleet::FindPorts() {
+  // Cases that are started together get ranges of their own.
   constexpr int kFirst = 21'000;
-  constexpr int kLast = 31'000;
-  for (base_port_ = kFirst + getpid() % 5000; base_port_ < kLast;
-       base_port_ += kPorts) {
+  constexpr int kRanges = 1500;
+  for (int i = 0; i < kRanges; ++i) {
+    base_port_ = kFirst + (getpid() + i) % kRanges * kPorts;
     bool is_free = true;
     for (int number = 0; number < options_.size && is_free; ++number) {
       for (int port = 1; port < kPorts && is_free; ++port) {
