Run no handler of a wait that was replaced or cancelled

Cause: when the process stands still while it connects to its backend server, the event loop finds the open connection and the end of the time limit for connecting in one turn. The request was sent first and the timer set anew, which does not take back the former wait's queued handler. That one ended the call as not run, and the entry sent the request to another server.

OneShotTimer numbers its starts, and a wait whose number is not the latest does nothing, whatever order the loop handles its queue in.

--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
@@ -16,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "proxy/one_shot_timer.h"
 #include "transport/address.h"
 
 namespace vanillafall {
@@ -247,8 +247,8 @@
   BackendCall call_;
   // The current attempt; null before the start.
   AttemptPtr attempt_;
-  asio::steady_timer timer_;
-  asio::steady_timer room_timer_;
+  OneShotTimer timer_;
+  OneShotTimer room_timer_;
   std::optional<TimePoint> room_deadline_;
   TimePoint started_;
   bool has_arrived_ = false;
@@ -278,9 +278,8 @@
 
 void BackendPool::Impl::Exchange::SetTimer(Duration time,
                                            void (Exchange::*on_timeout)()) {
-  timer_.expires_after(time);
-  timer_.async_wait([self = shared_from_this(), on_timeout](error_code error) {
-    if (!error && !self->is_finished_) {
+  timer_.Start(time, [self = shared_from_this(), on_timeout] {
+    if (!self->is_finished_) {
       (self.get()->*on_timeout)();
     }
   });
@@ -421,13 +420,11 @@
     return;
   }
   pool_.handler_.MakeRoom(bytes);
-  room_timer_.expires_after(kRoomPeriod);
-  room_timer_.async_wait(
-      [self = shared_from_this(), held = attempt_](error_code /*error*/) {
-        if (!self->is_finished_ && held == self->attempt_) {
-          self->Proceed();
-        }
-      });
+  room_timer_.Start(kRoomPeriod, [self = shared_from_this(), held = attempt_] {
+    if (!self->is_finished_ && held == self->attempt_) {
+      self->Proceed();
+    }
+  });
 }
 
 void BackendPool::Impl::Exchange::OnReadError(error_code error) {
@@ -457,7 +454,7 @@
 
 void BackendPool::Impl::Exchange::OnConnectionLost(Reason reason) {
   is_finished_ = true;
-  timer_.cancel();
+  timer_.Cancel();
   CloseSocket();
   BackendCallEnd end;
   end.id = call_.id;
@@ -546,7 +543,7 @@
     return;
   }
   is_finished_ = true;
-  timer_.cancel();
+  timer_.Cancel();
   CloseSocket();
   end.id = call_.id;
   end.sends = sends_;
@@ -662,7 +659,7 @@
 
 void BackendPool::Impl::ProbeBackend(const BackendCallEnd& end) {
   const auto probe = std::make_shared<tcp::socket>(loop_);
-  const auto timer = std::make_shared<asio::steady_timer>(loop_);
+  const auto timer = std::make_shared<OneShotTimer>(loop_);
   const auto is_reported = std::make_shared<bool>(false);
   const auto finish = [self = shared_from_this(), probe, timer, is_reported,
                        end](bool is_down) {
@@ -670,18 +667,15 @@
       return;
     }
     *is_reported = true;
-    timer->cancel();
+    timer->Cancel();
     BackendCallEnd known = end;
     known.is_down = is_down;
     self->ReportEnd(std::move(known));
   };
-  timer->expires_after(kConnectTimeout);
-  timer->async_wait([finish, probe](error_code error) {
-    if (!error) {
-      error_code ignored;
-      probe->close(ignored);
-      finish(false);
-    }
+  timer->Start(kConnectTimeout, [finish, probe] {
+    error_code ignored;
+    probe->close(ignored);
+    finish(false);
   });
   ++opened_count_;
   probe->async_connect(
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -327,6 +327,29 @@
   CHECK(cancelled.Call("1").reason == Reason::kCancelled);
 }
 
+// Guards against a request that is sent and then reported as not run, because
+// the process stood still until the time limit for connecting was over.
+TEST_CASE("a call whose connection opens during a standstill is not unsent",
+          "[pool]") {
+  constexpr milliseconds kOverConnectTimeout{350};
+  std::atomic<int> requests{0};
+  Fixture f([&requests](RawSocket& socket, int) {
+    if (!socket.ReadUntil("\r\n\r\n").empty()) {
+      ++requests;
+      std::this_thread::sleep_for(milliseconds(50));
+      socket.Send(Answer("1", "own"));
+    }
+  });
+  f.Begin("1");
+  // Begins to connect; the loop does not run again before the time is over.
+  f.loop.poll_one();
+  std::this_thread::sleep_for(kOverConnectTimeout);
+  const BackendCallEnd end = f.WaitFor(1);
+  CHECK(end.end == RunEnd::kAnswered);
+  CHECK(end.response.body == "own");
+  CHECK(requests == 1);
+}
+
 // A failing server may send bytes until its connection is closed. Ten calls at
 // once get such bytes while another call is served: no call may hold more than
 // its part of the memory, and none may count as not run.
