--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -417,6 +417,27 @@
   CHECK(end.response.body == body);
 }
 
+// Guards against an end of the process by an assertion of the HTTP library when
+// the last chunk of an answer arrives in pieces.
+TEST_CASE("an empty answer in chunks is read however it is cut into segments",
+          "[pool]") {
+  const std::string chunks = "0\r\n\r\n";
+  for (std::size_t second = 2; second < chunks.size(); ++second) {
+    for (std::size_t first = 1; first < second; ++first) {
+      CAPTURE(first, second);
+      Fixture f([&, first, second](RawSocket& socket, int) {
+        socket.ReadUntil("\r\n\r\n");
+        socket.Send(
+            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        socket.SendInSegments(chunks, first, second);
+      });
+      const BackendCallEnd end = f.Call("1");
+      CHECK(end.end == RunEnd::kAnswered);
+      CHECK(end.response.body.empty());
+    }
+  }
+}
+
 // The id in a trailer field could make a foreign answer pass for this one.
 TEST_CASE("trailer fields of an answer do not become header fields", "[pool]") {
   Fixture f([](RawSocket& socket, int) {
--- a/packages/proxy/http_listener_test.cc
+++ b/packages/proxy/http_listener_test.cc
@@ -133,6 +133,38 @@
   CHECK(server.requests()[1].body == "abc");
 }
 
+// Guards against an end of the process by an assertion of the HTTP library when
+// the last chunk arrives in pieces.
+TEST_CASE("a body in chunks is read however it is cut into segments",
+          "[listener]") {
+  struct Row {
+    std::string chunks;
+    std::string body;
+  };
+  const Row rows[] = {
+      {"0\r\n\r\n", ""},
+      {"0;x=y\r\n\r\n", ""},
+      {"0\r\nX-Late: 1\r\n\r\n", ""},
+      {"3\r\nabc\r\n0\r\n\r\n", "abc"},
+  };
+  EchoServer server;
+  RawSocket socket(server.address());
+  for (const Row& row : rows) {
+    for (std::size_t second = 2; second < row.chunks.size(); ++second) {
+      for (std::size_t first = 1; first < second; ++first) {
+        CAPTURE(row.chunks, first, second);
+        socket.Send(
+            "POST /x HTTP/1.1\r\nHost: a\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+        socket.SendInSegments(row.chunks, first, second);
+        REQUIRE(ReadStatus(socket) == "HTTP/1.1 200");
+        REQUIRE(socket.ReadUntil("/x") == "/x");
+        REQUIRE(server.requests().back().body == row.body);
+      }
+    }
+  }
+}
+
 TEST_CASE(
     "a malformed request or one with an ambiguous end is rejected, and the "
     "bytes after it are not taken for a request",
--- a/packages/transport/raw_socket_test.h
+++ b/packages/transport/raw_socket_test.h
@@ -2,6 +2,7 @@
 #define TRANSPORT_RAW_SOCKET_TEST_H_
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,6 +44,24 @@
            static_cast<ssize_t>(bytes.size());
   }
 
+  // Sends the text in three segments, cut at these offsets. A pause after each
+  // lets the other side read it before the next one comes.
+  bool SendInSegments(const std::string& text,
+                      std::size_t first_cut,
+                      std::size_t second_cut) {
+    const int on = 1;
+    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    bool is_sent = true;
+    for (const std::string& segment :
+         {text.substr(0, first_cut),
+          text.substr(first_cut, second_cut - first_cut),
+          text.substr(second_cut)}) {
+      is_sent = is_sent && Send(segment);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return is_sent;
+  }
+
   // Reads until the text has arrived, the other side closes the connection or
   // the timeout passes. Returns all bytes up to the end of the text, or all
   // that arrived without it, and keeps the rest for the next call.
