Hold offers until the own server's entry was read, also when it is refused

Cause of these: a daemon that first sees its server on a list, which may be seconds old, grants no offers until it has read the server's entry. One refusal of that read counted as a source that does not answer, and released the offers.

That this is what users saw is suspected only.

A source that answers no call at all for 1 s still releases the offers: then nobody can tell more about the server.

--- a/packages/dispatch/backend_owner.h
+++ b/packages/dispatch/backend_owner.h
@@ -38,6 +38,7 @@
   // Grants no offers until ReleaseOffers, because what is known of the backend
   // server may be too old. Offers that may wait do so, others are denied.
   void HoldOffers() { is_holding_offers_ = true; }
+  bool is_holding_offers() const { return is_holding_offers_; }
   // What is known of the backend server is current.
   void ReleaseOffers(TimePoint now);
   // Denies all offers from now on, because this daemon is about to stop.
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -24,6 +24,10 @@
 // The same while the source does not answer this daemon. Another daemon that it
 // does answer passes the confirmation on within a few round trips.
 constexpr std::chrono::milliseconds kMaxUnreachableHoldTime{250};
+// Offers that wait for a confirmation of the own server are released after the
+// source has answered no call for this time: then nobody can tell more about
+// the server than is known. A call that the source refuses is repeated sooner.
+constexpr std::chrono::milliseconds kMaxUnconfirmedHoldTime{1000};
 // Answers with at least this HTTP status are failures of the backend server.
 constexpr int kFirstFailureStatus = 500;
 // The names of limits of customers begin with this.
@@ -104,14 +108,23 @@
   freshness_.SetSourceReachable(is_reachable);
   limiter_.SetSourceReachable(is_reachable, now);
   ReleaseHeldRequests(now);
-  if (!is_reachable) {
-    // Nobody can tell more about the own server than is known.
-    owner_.ReleaseOffers(now);
+  if (is_reachable) {
+    offers_released_at_.reset();
+  } else if (owner_.is_holding_offers() && !offers_released_at_) {
+    offers_released_at_ = now + kMaxUnconfirmedHoldTime;
   }
   DeliverPendingMessages(now);
 }
 
+void Dispatcher::HoldOffers(TimePoint now) {
+  owner_.HoldOffers();
+  if (!freshness_.is_source_reachable()) {
+    offers_released_at_ = now + kMaxUnconfirmedHoldTime;
+  }
+}
+
 void Dispatcher::OnOwnServerConfirmed(TimePoint now) {
+  offers_released_at_.reset();
   owner_.ReleaseOffers(now);
   DeliverPendingMessages(now);
 }
@@ -503,6 +516,10 @@
 
 void Dispatcher::Advance(TimePoint now) {
   LimitRepeats(now);
+  if (offers_released_at_ && now >= *offers_released_at_) {
+    offers_released_at_.reset();
+    owner_.ReleaseOffers(now);
+  }
   owner_.Advance(now);
   entry_.Advance(random_, now);
   ReleaseHeldRequests(now);
@@ -519,6 +536,7 @@
     }
   };
   include(entry_.NextWake());
+  include(offers_released_at_);
   for (const auto& [id, held] : held_) {
     include(held.until);
   }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -66,8 +66,9 @@
   // Whether the source answers; it does at the start.
   void SetSourceReachable(bool is_reachable, TimePoint now);
   // The list entry of this instance's backend server may be out of date: offers
-  // are answered only after OnOwnServerConfirmed.
-  void HoldOffers() { owner_.HoldOffers(); }
+  // are answered only after OnOwnServerConfirmed, or once the source has not
+  // answered for a while.
+  void HoldOffers(TimePoint now);
   void OnOwnServerConfirmed(TimePoint now);
   void OnServers(const std::vector<ListedServer>& servers, TimePoint now);
   void OnCallerRequest(EntryRequest request, TimePoint now);
@@ -289,6 +290,9 @@
   // Of the last confirmation.
   SourceRevision confirmed_revision_;
   TimePoint confirmation_requested_at_;
+  // When offers that wait for a confirmation of the own server are released
+  // without it; nothing while none wait or the source answers.
+  std::optional<TimePoint> offers_released_at_;
   std::map<RequestId, HeldRequest> held_;
   FleetLimiter limiter_;
   std::unordered_map<RequestId, UndecidedRequest> undecided_;
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -204,6 +204,46 @@
   CHECK(f.delegate.answers[1].retry_after > milliseconds(0));
 }
 
+// Guards against requests that reach a server which has long reported that it
+// is leaving: the daemon beside it has just seen it, as ready, on a list that
+// is seconds old, and the source refuses the read of its entry.
+TEST_CASE("no offer is granted by an entry that the source refuses to confirm",
+          "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
+  f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
+  f.dispatcher.HoldOffers(f.now);
+  for (int refusal = 0; refusal < 20; ++refusal) {
+    f.dispatcher.SetSourceReachable(false, f.now);
+    f.Request("/x");
+    f.now += milliseconds(200);
+    f.dispatcher.Advance(f.now);
+    // Another call is answered.
+    f.dispatcher.SetSourceReachable(true, f.now);
+    f.now += milliseconds(50);
+    f.dispatcher.Advance(f.now);
+  }
+  CHECK(f.delegate.calls.empty());
+  f.Request("/x");
+  f.dispatcher.OnOwnServerConfirmed(f.now);
+  CHECK_FALSE(f.delegate.calls.empty());
+}
+
+TEST_CASE("offers wait a second at most for a source that answers nobody",
+          "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnConfig(Table(5, "/"), "", f.now);
+  f.dispatcher.OnServers({Server("own", "10.0.0.1")}, f.now);
+  f.dispatcher.HoldOffers(f.now);
+  f.dispatcher.SetSourceReachable(false, f.now);
+  REQUIRE(f.dispatcher.NextWake());
+  CHECK(*f.dispatcher.NextWake() <= f.now + seconds(1));
+  f.now += seconds(1);
+  f.dispatcher.Advance(f.now);
+  f.Request("/x");
+  CHECK(f.delegate.calls.size() == 1);
+}
+
 TEST_CASE("a key is not refused as unknown because the source does not answer",
           "[dispatcher]") {
   Fixture f;
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -585,6 +585,7 @@
 void ProxyDaemon::Impl::OnReachabilityChanged(bool is_reached) {
   const TimePoint now = clock_.now();
   dispatcher_.SetSourceReachable(is_reached, now);
+  ArmWakeTimer();
   if (is_reached) {
     const bool served_others = dispatcher_.HasSourceAnsweredSince(
         source_lost_at_ - kLossDetectionTime, now);
@@ -613,7 +614,7 @@
     watched_server_ = own_id;
     if (own) {
       // The list that names it may be seconds old; the source reads its entry.
-      dispatcher_.HoldOffers();
+      dispatcher_.HoldOffers(clock_.now());
     } else {
       dispatcher_.OnOwnServerConfirmed(clock_.now());
     }
