Date an outage of the store from the last call that failed

Cause: without that proof, servers missing after an outage were kept for 2.5 s from the moment at which this daemon had reached the store. That may be a second after the path works, since the kernel sends a lost SYN packet again only after 1 s.

--- a/packages/dispatch/server_roster.cc
+++ b/packages/dispatch/server_roster.cc
@@ -7,9 +7,13 @@
 
 namespace vanillafall {
 
-void ServerRoster::OnSourceReached(bool served_others, TimePoint now) {
+void ServerRoster::OnSourceReached(bool served_others,
+                                   TimePoint away_at,
+                                   TimePoint now) {
   if (!is_source_reachable_ && !served_others) {
-    unreliable_until_ = now + kReregistrationTime;
+    unreliable_until_ = std::clamp<TimePoint>(away_at + kMaxRemovalDelay,
+                                              now + kMinReregistrationTime,
+                                              now + kReregistrationTime);
   }
   is_source_reachable_ = true;
 }
--- a/packages/dispatch/server_roster.h
+++ b/packages/dispatch/server_roster.h
@@ -29,16 +29,23 @@
   // Time after an outage during which missing servers are kept, so that they
   // can register again.
   static constexpr std::chrono::milliseconds kReregistrationTime{2500};
+  // The same at least, when the outage may have ended before it was noticed.
+  static constexpr std::chrono::milliseconds kMinReregistrationTime{2000};
+  // A removal after an outage must be in force this long after its end, so this
+  // long after the source was last known to be away, missing servers are kept
+  // for the minimum time only.
+  static constexpr std::chrono::milliseconds kMaxRemovalDelay{2800};
   // Time after a restore during which a removal of a former era is remembered.
   // The registration of a process that has ended expires within this time.
   static constexpr std::chrono::milliseconds kRestoredRemovalTime{10'000};
 
   // The source of lists and changes does not answer.
   void OnSourceLost() { is_source_reachable_ = false; }
-  // The source answers again. `served_others` tells that it was not away but
-  // has answered other daemons all the while: then servers could renew their
-  // registrations, and one that is missing has left.
-  void OnSourceReached(bool served_others, TimePoint now);
+  // The source answers again; it did not yet at `away_at`. `served_others`
+  // tells that it was not away but has answered other daemons all the while:
+  // then servers could renew their registrations, and one that is missing has
+  // left.
+  void OnSourceReached(bool served_others, TimePoint away_at, TimePoint now);
   // The source was restored from a copy; what it lists next is of a new era.
   void OnSourceRestored(TimePoint now);
   // A whole list has arrived.
--- a/packages/dispatch/server_roster_test.cc
+++ b/packages/dispatch/server_roster_test.cc
@@ -41,7 +41,7 @@
   roster.OnList({Server("a", 5), Server("b", 6)}, now);
   roster.OnSourceLost();
   now += seconds(10);
-  roster.OnSourceReached(false, now);
+  roster.OnSourceReached(false, now, now);
   roster.OnList({Server("a", 5)}, now);
   roster.RemoveServer("a", {0, 20}, now);
   CHECK(roster.servers().size() == 2);
@@ -61,7 +61,7 @@
     roster.OnList({Server("a", 5), Server("b", 6)}, now);
     roster.OnSourceLost();
     now += seconds(10);
-    roster.OnSourceReached(true, now);
+    roster.OnSourceReached(true, now, now);
     roster.OnList({Server("a", 5)}, now);
     CHECK(roster.servers().size() == 1);
     roster.RemoveServer("a", {0, 20}, now);
@@ -81,7 +81,7 @@
   CHECK_FALSE(roster.NextWake());
   roster.OnSourceLost();
   now += seconds(10);
-  roster.OnSourceReached(false, now);
+  roster.OnSourceReached(false, now, now);
   const TimePoint reliable_from = now + ServerRoster::kReregistrationTime;
   roster.OnList({Server("a", 5), Server("c", 7)}, now);
   now += milliseconds(200);
@@ -100,6 +100,30 @@
   CHECK(roster.servers().size() == 1);
 }
 
+// Guards against requests that reach a server long after its removal, because
+// this daemon has found the source again only some time after an outage.
+TEST_CASE("a removal is in force within 3 s of the end of an outage",
+          "[roster]") {
+  // Time from the last call that failed to the first that was answered.
+  const milliseconds uncertainty =
+      GENERATE(milliseconds(0), milliseconds(300), milliseconds(800));
+  CAPTURE(uncertainty.count());
+  ServerRoster roster;
+  const TimePoint away_at(seconds(100));
+  const TimePoint reached = away_at + uncertainty;
+  roster.OnList({Server("a", 5), Server("b", 6)}, away_at - seconds(10));
+  roster.OnSourceLost();
+  roster.OnSourceReached(false, away_at, reached);
+  roster.RemoveServer("a", {0, 20}, reached + milliseconds(200));
+  // Its registration may have expired in the outage, which ended by then.
+  roster.Advance(reached + milliseconds(1999));
+  CHECK(roster.servers().size() == 2);
+  REQUIRE(roster.NextWake());
+  CHECK(*roster.NextWake() < away_at + seconds(3));
+  roster.Advance(*roster.NextWake());
+  CHECK(roster.servers().size() == 1);
+}
+
 // A registration of the process that was started at `started_at`.
 ListedServer Published(const std::string& id,
                        const SourceRevision& revision,
--- a/packages/proxy/fleet_source.h
+++ b/packages/proxy/fleet_source.h
@@ -40,8 +40,9 @@
     // The source was restored from an older copy and has begun a new era. What
     // it reports from now on belongs to that era.
     virtual void OnSourceRestored() = 0;
-    // The source has started or stopped answering; called only on a change.
-    virtual void OnReachabilityChanged(bool is_reached) = 0;
+    // The source has started or stopped answering; called only on a change. The
+    // last call that was not answered had been sent at `away_at`.
+    virtual void OnReachabilityChanged(bool is_reached, TimePoint away_at) = 0;
     // An event of the source for the log.
     virtual void OnSourceEvent(LogEvent event) = 0;
   };
--- a/packages/proxy/proxy_daemon.cc
+++ b/packages/proxy/proxy_daemon.cc
@@ -269,7 +269,7 @@
   void OnServerRemoved(const std::string& id,
                        const SourceRevision& revision) override;
   void OnSourceRestored() override;
-  void OnReachabilityChanged(bool is_reached) override;
+  void OnReachabilityChanged(bool is_reached, TimePoint away_at) override;
   void OnSourceEvent(LogEvent event) override;
 
   void OnReadinessProbe(RequestId id, const HttpRequest& request);
@@ -582,21 +582,26 @@
   roster_.OnSourceRestored(clock_.now());
 }
 
-void ProxyDaemon::Impl::OnReachabilityChanged(bool is_reached) {
+void ProxyDaemon::Impl::OnReachabilityChanged(bool is_reached,
+                                              TimePoint away_at) {
   const TimePoint now = clock_.now();
   dispatcher_.SetSourceReachable(is_reached, now);
   ArmWakeTimer();
-  if (is_reached) {
-    const bool served_others = dispatcher_.HasSourceAnsweredSince(
-        source_lost_at_ - kLossDetectionTime, now);
-    roster_.OnSourceReached(served_others, now);
-  } else {
+  if (!is_reached) {
     source_lost_at_ = now;
     roster_.OnSourceLost();
+    Log({LogEventId::kPlatformUnreachable, settings_.platform_address, ""});
+    return;
   }
-  Log({is_reached ? LogEventId::kPlatformReached
-                  : LogEventId::kPlatformUnreachable,
-       settings_.platform_address, ""});
+  const bool served_others = dispatcher_.HasSourceAnsweredSince(
+      source_lost_at_ - kLossDetectionTime, now);
+  roster_.OnSourceReached(served_others, away_at, now);
+  Log({LogEventId::kPlatformReached,
+       settings_.platform_address,
+       "",
+       {{"served_others", served_others ? "yes" : "no"},
+        {"config_age_ms", FormatAge(dispatcher_.ConfigAge(now))},
+        {"away_ms_ago", FormatAge(now - away_at)}}});
 }
 
 void ProxyDaemon::Impl::ApplyRoster() {
--- a/packages/transport/raw_socket_test.h
+++ b/packages/transport/raw_socket_test.h
@@ -190,6 +190,44 @@
   std::vector<std::thread> script_threads_;
 };
 
+// A loopback address whose queue of new connections is full, so that connecting
+// to it takes as long as to a host that can't be reached.
+class FullListener {
+ public:
+  FullListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in any = *ParseAddress("127.0.0.1:1");
+    any.sin_port = 0;
+    if (bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) != 0 ||
+        listen(fd_, 0) != 0) {
+      throw std::system_error(errno, std::generic_category(), "listen");
+    }
+    socklen_t size = sizeof(any);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&any), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+    for (int& filler : fillers_) {
+      filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      // Stays in progress once the queue is full.
+      static_cast<void>(connect(filler, reinterpret_cast<const sockaddr*>(&any),
+                                sizeof(any)));
+    }
+  }
+  ~FullListener() {
+    for (const int filler : fillers_) {
+      close(filler);
+    }
+    close(fd_);
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  const std::string& address() const { return address_; }
+
+ private:
+  const int fd_;
+  std::string address_;
+  std::array<int, 8> fillers_{};
+};
+
 // A loopback address on which nothing listens.
 inline std::string ClosedAddress() {
   const RawServer server([](RawSocket&, int) {});
