Pass on no answer without a length whose connection was reset

An upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer.

Cause: the system reports a reset once. The event loop tries the pending write before the read, so the write of the request got the error, which was ignored, and the read found a closed connection, which ends an answer without a length.

A write that fails as a broken pipe does not count: the system reports that after the upstream has closed the connection, so the answer was complete.

--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -212,6 +212,9 @@
     // parser adds to its own copy.
     std::optional<http::response_header<>> head;
     bool is_written = false;
+    // Whether writing the request has shown that the connection was reset. The
+    // system reports a reset only once, and reads find a closed connection then.
+    bool is_reset = false;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
 
@@ -338,10 +341,11 @@
   http::async_write(
       attempt_->socket, request,
       [attempt = attempt_](error_code error, std::size_t /*bytes*/) {
-        // A failed write needs no handling here: the read fails as well, or
-        // returns an answer that the backend server sent before it had read the
-        // whole request.
+        // A failed write does not end the call: the backend server may have
+        // answered before it had read the whole request. Once it has closed the
+        // connection, writes fail as a broken pipe.
         attempt->is_written = !error;
+        attempt->is_reset = error && error != asio::error::broken_pipe;
       });
   ReadAnswer();
 }
@@ -467,6 +471,11 @@
 }
 
 void BackendPool::Impl::Exchange::HandleAnswer() {
+  if (attempt_->parser->need_eof() && attempt_->is_reset) {
+    // Nothing but the end of the connection shows that the body is complete.
+    Finish(RunEnd::kUnknown, Reason::kAnswerTruncated);
+    return;
+  }
   const bool may_reuse = attempt_->parser->keep_alive() && attempt_->is_written;
   http::response<http::string_body> message = attempt_->parser->release();
   if (attempt_->head) {
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -13,6 +13,9 @@
 using Kind = HttpDialect::AnswerKind;
 
 constexpr std::size_t kAnswerMemory = std::size_t{256} * 1024;
+// More than fits into the buffers of a connection.
+const std::string kLongUpload =
+    std::string(std::size_t{8} * 1024 * 1024, 'u') + "the end of the upload";
 
 // Reads the id of the answered request from the header "Id". Status 421 stands
 // for another server, 503 for a request that was not run.
@@ -74,12 +77,14 @@
   // Makes a call; `calls` is its id.
   void Begin(const std::string& id,
              bool is_idempotent = false,
-             milliseconds left = std::chrono::seconds(10)) {
+             milliseconds left = std::chrono::seconds(10),
+             const std::string& body = "") {
     BackendCall call;
     call.id = ++calls;
     call.server = "s1";
     call.request_id = id;
-    call.request.method = "GET";
+    call.request.method = body.empty() ? "GET" : "POST";
+    call.request.body = body;
     call.request.target = "/" + id;
     call.request.headers = {{"Host", "a"}};
     call.time_left = left;
@@ -248,6 +253,86 @@
   }
 }
 
+// Guards against a part of an answer that passes for the whole one because the
+// reset that broke it off was reported to the write of the request.
+TEST_CASE(
+    "an early answer without a length that is reset during the upload is not "
+    "passed on",
+    "[pool]") {
+  const std::string head =
+      GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+               "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n");
+  const std::size_t body_bytes = GENERATE(0, 10, 30'000);
+  const milliseconds reset_after = GENERATE(milliseconds(0), milliseconds(30));
+  CAPTURE(head, body_bytes, reset_after.count());
+  Fixture f([&](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(head + std::string(body_bytes, 'a'));
+    std::this_thread::sleep_for(reset_after);
+    socket.Reset();
+  });
+  f.Begin("1", false, std::chrono::seconds(10), kLongUpload);
+  CHECK(f.WaitFor(1).end == RunEnd::kUnknown);
+}
+
+// An answer that is complete before the connection ends must not be lost with
+// the rest of the upload.
+TEST_CASE("a sound early answer to a long upload is passed on", "[pool]") {
+  const std::string start = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  struct Row {
+    const char* name;
+    std::string answer;
+    std::function<void(RawSocket&)> finish;
+  };
+  const auto read_on = [](RawSocket& socket) {
+    socket.ReadUntil("the end of the upload", milliseconds(5000));
+  };
+  const auto shut_down = [](RawSocket& socket) {
+    shutdown(socket.fd(), SHUT_WR);
+  };
+  const Row rows[] = {
+      {"with a length, then reset", start + "Content-Length: 3\r\n\r\nown",
+       [](RawSocket& socket) { socket.Reset(); }},
+      {"in chunks, then reset",
+       start + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+       [](RawSocket& socket) { socket.Reset(); }},
+      {"ended by a close, upload read on", start + "\r\nown",
+       [&](RawSocket& socket) {
+         shut_down(socket);
+         read_on(socket);
+       }},
+      {"ended by a close, then reset", start + "\r\nown",
+       [&](RawSocket& socket) {
+         shut_down(socket);
+         std::this_thread::sleep_for(milliseconds(30));
+         socket.Reset();
+       }},
+      {"ended by a close and reset at once", start + "\r\nown",
+       [&](RawSocket& socket) {
+         shut_down(socket);
+         socket.Reset();
+       }},
+      {"upload read first", start + "\r\nown", [&](RawSocket&) {}},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    const bool reads_first = std::string(row.name) == "upload read first";
+    Fixture f([&](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      if (reads_first) {
+        read_on(socket);
+      }
+      socket.Send(row.answer);
+      row.finish(socket);
+    });
+    f.Begin("1", false, std::chrono::seconds(10), kLongUpload);
+    const BackendCallEnd end = f.WaitFor(1);
+    CHECK(end.end == RunEnd::kAnswered);
+    CHECK(end.response.body == "own");
+  }
+}
+
 TEST_CASE(
     "a lost connection leaves the outcome unknown, a refused one means not run",
     "[pool]") {
--- a/packages/transport/backend_client_test.cc
+++ b/packages/transport/backend_client_test.cc
@@ -202,6 +202,29 @@
   }
 }
 
+// An early answer without a length could end with a reset that the library has
+// taken for a failed upload.
+TEST_CASE("an early answer that is reset during the upload is not passed on") {
+  const std::string body(std::size_t{8} * 1024 * 1024, 'b');
+  for (const char* answer :
+       {"HTTP/1.1 200 OK\r\n\r\n0123456789",
+        "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n0123456789"}) {
+    for (const milliseconds reset_after : {milliseconds(0), milliseconds(30)}) {
+      CAPTURE(answer, reset_after.count());
+      RawServer server([&](RawSocket& socket, int) {
+        socket.ReadUntil("\r\n\r\n");
+        socket.Send(answer);
+        std::this_thread::sleep_for(reset_after);
+        socket.Reset();
+      });
+      Fixture fixture;
+      REQUIRE(fixture.client().Send(
+          {1, server.address(), {"POST", "/1", {}, body}, milliseconds(2000)}));
+      CHECK(fixture.results().WaitFor(1).end != End::kAnswered);
+    }
+  }
+}
+
 TEST_CASE("an answer with an error status counts as an answer") {
   RawServer server(ReadThenSendAndClose(
       "HTTP/1.1 503 Shed\r\nContent-Length: 4\r\n\r\nshed"));
