Pass on no answer whose status or field names HTTP does not allow

On other systems of this kind callers got answers with the status 000, and with a blank or a control byte in the name of a field. Here an upstream's status below 100 was read as an interim answer, so its caller waited until the deadline; 600 to 999 were passed on; and a line that begins with a blank changed the field before it. Fleets with service files passed on malformed names.

Cause: the HTTP library checks the names but accepts any three digits and folded lines, and libcurl accepts nearly any line.

Each reader of answers checks the status and each line of heads and trailers. Answers from other daemons are checked too, as those may be of another version.

--- a/packages/message/http.h
+++ b/packages/message/http.h
@@ -34,6 +34,18 @@
 // callers pass all lines of heads and trailers to this function.
 bool IsHeadComplete(std::string_view line, bool was_complete);
 
+// Whether a header field may have this name: a token, without blanks and
+// control characters.
+bool IsHeaderName(std::string_view name);
+
+// Whether HTTP defines this status, or the range that it is in.
+bool IsStatus(int status);
+
+// Whether a line of an answer's head or trailer, with the end of the line, is
+// valid: a status line, a header field or the empty line. libcurl accepts other
+// lines too, so its callers check each one.
+bool IsHeadLineValid(std::string_view line);
+
 // An HTTP request. The target is the path and query as the caller sent them.
 struct HttpRequest {
   std::string method;
@@ -49,6 +61,10 @@
   Body body;
 };
 
+// Whether the answer has a final status and valid header names, and may
+// therefore be passed on to a caller.
+bool IsFinalAnswer(const HttpResponse& response);
+
 // Request headers that the daemons interpret: the customer that sends the
 // request, the idempotency key, and the time in ms that the caller still waits.
 inline constexpr char kCustomerHeader[] = "Vanillafall-Tenant";
--- a/packages/proxy/backend_pool.cc
+++ b/packages/proxy/backend_pool.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <charconv>
@@ -15,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "proxy/answer_buffer.h"
 #include "proxy/one_shot_timer.h"
 #include "transport/address.h"
 
@@ -206,14 +206,15 @@
     http::request<http::span_body<const char>> request;
     // The bytes that the request refers to.
     Body body;
-    beast::flat_buffer buffer{kMaxBufferBytes};
+    AnswerBuffer buffer{kMaxBufferBytes};
     std::unique_ptr<Parser> parser;
     // The head of an answer in chunks, without the trailer fields that the
     // parser adds to its own copy.
     std::optional<http::response_header<>> head;
     bool is_written = false;
     // Whether writing the request has shown that the connection was reset. The
-    // system reports a reset only once, and reads find a closed connection then.
+    // system reports a reset only once, and reads find a closed connection
+    // then.
     bool is_reset = false;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
@@ -226,6 +227,8 @@
   // Some bytes of the answer were read, or reading them failed.
   void OnRead(const AttemptPtr& attempt, error_code error);
   void OnReadError(error_code error);
+  // Whether the answer's head, as far as it was read, is one that HTTP allows.
+  bool IsHeadValid() const;
   // Handles the answer if it is complete, otherwise reads on; waits first while
   // there is no memory for it.
   void Proceed();
@@ -353,6 +356,7 @@
 void BackendPool::Impl::Exchange::ReadAnswer() {
   Attempt& attempt = *attempt_;
   attempt.parser = std::make_unique<Parser>();
+  attempt.buffer.BeginHead();
   attempt.head.reset();
   attempt.parser->header_limit(kMaxHeaderBytes);
   attempt.parser->body_limit(pool_.max_answer_bytes());
@@ -380,6 +384,10 @@
     return;
   }
   Parser& parser = *attempt_->parser;
+  if (!IsHeadValid()) {
+    Finish(RunEnd::kUnknown, Reason::kAnswerTruncated);
+    return;
+  }
   // The library checks the declared length of a request against the limit, but
   // reserves memory for any declared length of an answer.
   const auto length = parser.content_length();
@@ -393,6 +401,14 @@
   Proceed();
 }
 
+bool BackendPool::Impl::Exchange::IsHeadValid() const {
+  // The library checks the names of fields itself.
+  const Parser& parser = *attempt_->parser;
+  return !parser.is_header_done() ||
+         (IsStatus(static_cast<int>(parser.get().result_int())) &&
+          !attempt_->buffer.has_folded_line());
+}
+
 void BackendPool::Impl::Exchange::Proceed() {
   Parser& parser = *attempt_->parser;
   const bool has_body = call_.request.method != "HEAD";
--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -333,6 +333,63 @@
   }
 }
 
+// Guards against a number that is no status being passed on, or being taken for
+// that of an interim answer.
+TEST_CASE("an answer whose status is none is not passed on", "[pool]") {
+  const std::string status = GENERATE(as<std::string>(), "000", "099", "600",
+                                      "999", "00 ", "20", "2000");
+  const bool has_more = GENERATE(false, true);
+  CAPTURE(status, has_more);
+  Fixture f([&](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send("HTTP/1.1 " + status +
+                " X\r\nId: 1\r\nContent-Length: 0\r\n\r\n" +
+                (has_more ? Answer("1", "own") : ""));
+    socket.ReadUntil("never", milliseconds(1000));
+  });
+  const BackendCallEnd end = f.Call("1", false, milliseconds(5000));
+  CHECK(end.end == RunEnd::kUnknown);
+  CHECK(end.reason == Reason::kAnswerTruncated);
+}
+
+// Guards against a field with a malformed name that is passed on, or that
+// changes how the answer is read.
+TEST_CASE("an answer with a malformed field name is not passed on", "[pool]") {
+  const std::string status = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  const std::string sound = Answer("1", "own");
+  std::vector<std::string> lines = {" X: y",  "\tX: y",  "X : y",
+                                    "X Y: z", "X\tY: z", " Content-Length: 1",
+                                    ": y",    "no field"};
+  for (int byte = 0; byte < 0x100; ++byte) {
+    const bool is_control = byte < ' ' || byte >= 0x7f;
+    if (is_control) {
+      lines.push_back(std::string("X") + static_cast<char>(byte) + "Y: z");
+    }
+  }
+  for (const std::string& line : lines) {
+    const std::string end = line + "\r\n\r\n";
+    const std::string answers[] = {
+        status + "Content-Length: 3\r\nA: b\r\n" + end + "own",
+        status + line + "\r\nContent-Length: 3\r\n\r\nown",
+        "HTTP/1.1 102 Processing\r\nA: b\r\n" + end + sound,
+        status + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n" + end,
+    };
+    for (const std::string& answer : answers) {
+      CAPTURE(answer);
+      // A folded line in a trailer belongs to no field that is passed on.
+      const bool is_folded = line.front() == ' ' || line.front() == '\t';
+      if (is_folded && answer.find("chunked") != std::string::npos) {
+        continue;
+      }
+      Fixture f([&answer](RawSocket& socket, int) {
+        socket.ReadUntil("\r\n\r\n");
+        socket.Send(answer);
+      });
+      CHECK(f.Call("1").end == RunEnd::kUnknown);
+    }
+  }
+}
+
 TEST_CASE(
     "a lost connection leaves the outcome unknown, a refused one means not run",
     "[pool]") {
--- a/packages/proxy/peer_links.cc
+++ b/packages/proxy/peer_links.cc
@@ -69,6 +69,14 @@
                        ntohs(parsed->sin_port));
 }
 
+// Turns the result of a request that has run into one without its answer.
+void DropAnswer(RunResult* result, Reason reason) {
+  result->end = RunEnd::kUnknown;
+  result->reason = reason;
+  result->has_arrived = true;
+  result->response = {};
+}
+
 void SetSocketOptions(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
@@ -528,12 +536,15 @@
     }
     if (auto* result = std::get_if<RunResult>(&message)) {
       // The request has run, and its answer is lost.
-      result->end = RunEnd::kUnknown;
-      result->reason = Reason::kAnswerTooLarge;
-      result->has_arrived = true;
-      result->response = {};
+      DropAnswer(result, Reason::kAnswerTooLarge);
     }
   }
+  if (auto* result = std::get_if<RunResult>(&message);
+      result != nullptr && result->end == RunEnd::kAnswered &&
+      !IsFinalAnswer(result->response)) {
+    // A daemon of another version may accept answers that this one does not.
+    DropAnswer(result, Reason::kAnswerTruncated);
+  }
   if (link->owner().empty()) {
     handler_.OnEntryMessage(link->id(), std::move(message));
   } else {
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -12,6 +12,7 @@
 //   backend_pool.h   HTTP calls to this instance's backend server
 //   link_codec.h     encoding of messages between entries and owners
 //   peer_links.h     connections between daemons
+//   answer_buffer.h  buffer that checks the heads of answers
 //   one_shot_timer.h timer whose former waits have no effect
 //   fleet_source.h   source of the configuration and the list of servers
 //   log_budget.h     rate limit of the log
--- a/packages/transport/backend_client.cc
+++ b/packages/transport/backend_client.cc
@@ -86,6 +86,7 @@
   bool has_leftover_input_ = false;
   bool uses_fresh_connection_ = false;
   bool is_too_large_ = false;
+  bool is_malformed_ = false;
   std::size_t head_bytes_ = 0;
   bool has_length_ = false;
   bool is_head_complete_ = false;
@@ -213,6 +214,10 @@
     transfer->is_too_large_ = true;
     return 0;
   }
+  if (!IsHeadLineValid(line)) {
+    transfer->is_malformed_ = true;
+    return 0;
+  }
   transfer->is_head_complete_ =
       IsHeadComplete(line, transfer->is_head_complete_);
   if (line.starts_with("HTTP/")) {
@@ -285,7 +290,7 @@
     return End::kTimeout;
   }
   const bool has_answer_begun =
-      response_.status != 0 || !response_.headers.empty();
+      is_malformed_ || response_.status != 0 || !response_.headers.empty();
   return has_answer_begun ? End::kTruncated : End::kLost;
 }
 
--- a/packages/transport/backend_client_test.cc
+++ b/packages/transport/backend_client_test.cc
@@ -202,6 +202,39 @@
   }
 }
 
+// Guards against an answer that is passed on with a status or a line of its
+// head that HTTP does not allow. libcurl accepts them.
+TEST_CASE("an answer with a malformed head is not passed on") {
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n";
+  const std::string sound = start + "\r\nown";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n";
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nown",
+      "HTTP/1.1 099 OK\r\nContent-Length: 3\r\n\r\nown",
+      "HTTP/1.1 600 OK\r\nContent-Length: 3\r\n\r\nown",
+      "HTTP/1.1 000 OK\r\n\r\n" + sound,
+      "HTTP/1.1 102 P\r\nX Mark: m\r\n\r\n" + sound,
+      start + "X Mark: m\r\n\r\nown",
+      start + "X-Mark : m\r\n\r\nown",
+      start + " X-Mark: m\r\n\r\nown",
+      start + "\tX-Mark: m\r\n\r\nown",
+      start + "X-\x01Mark: m\r\n\r\nown",
+      start + "X-Mark\x7f: m\r\n\r\nown",
+      start + "no field\r\n\r\nown",
+      chunked + "X Late: m\r\n\r\n",
+  };
+  Fixture fixture;
+  BackendClient::CallId id = 0;
+  for (const std::string& answer : answers) {
+    CAPTURE(answer);
+    RawServer server(ReadThenSendAndClose(answer));
+    const End end = fixture.Call(++id, server.address()).end;
+    const bool is_dropped = end == End::kTruncated || end == End::kLost;
+    CHECK(is_dropped);
+  }
+}
+
 // An early answer without a length could end with a reset that the library has
 // taken for a failed upload.
 TEST_CASE("an early answer that is reset during the upload is not passed on") {
--- a/packages/transport/platform_client.cc
+++ b/packages/transport/platform_client.cc
@@ -57,7 +57,7 @@
   auto* answer = static_cast<Answer*>(context);
   const std::string_view line(data, size * n);
   answer->head_bytes += line.size();
-  if (answer->head_bytes > kMaxHeadBytes) {
+  if (answer->head_bytes > kMaxHeadBytes || !IsHeadLineValid(line)) {
     return 0;
   }
   answer->is_head_complete = IsHeadComplete(line, answer->is_head_complete);
--- a/packages/transport/platform_client_test.cc
+++ b/packages/transport/platform_client_test.cc
@@ -13,9 +13,10 @@
  public:
   void OnPlatformValue(const std::string& /*name*/,
                        std::optional<PlatformClient::Value> value,
-                       bool /*is_reached*/) override {
+                       bool is_reached) override {
     const std::lock_guard lock(mutex_);
     last_ = std::move(value);
+    is_reached_ = is_reached;
     ++count_;
   }
   // The value of the first answer; nothing when it had none.
@@ -27,10 +28,16 @@
     const std::lock_guard lock(mutex_);
     return last_;
   }
+  // Whether the last answer shows that the platform serves.
+  bool is_reached() {
+    const std::lock_guard lock(mutex_);
+    return is_reached_;
+  }
 
  private:
   std::mutex mutex_;
   int count_ = 0;
+  bool is_reached_ = false;
   std::optional<PlatformClient::Value> last_;
 };
 
@@ -54,6 +61,26 @@
   CHECK(value->body == "text");
 }
 
+// Guards against taking a status or a line of the head that HTTP does not allow
+// for the platform's word that it has no such value.
+TEST_CASE("an answer with a malformed head is no answer of the platform",
+          "[platform_client]") {
+  const std::string line = GENERATE(
+      as<std::string>(), "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n",
+      "HTTP/1.1 404 X\r\nX Mark: m\r\n", "HTTP/1.1 200 OK\r\n X-Mark: m\r\n");
+  CAPTURE(line);
+  RawServer platform([&line](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(line + "Content-Length: 4\r\n\r\ntext");
+  });
+  Values values;
+  PlatformClient client(platform.address(), values);
+  client.Start();
+  REQUIRE(client.Read("manifest"));
+  CHECK_FALSE(values.WaitForFirst());
+  CHECK_FALSE(values.is_reached());
+}
+
 TEST_CASE("header or trailer fields without end are given up at their bound",
           "[platform_client]") {
   const std::string text =
--- a/tools/http_caller.cc
+++ b/tools/http_caller.cc
@@ -26,6 +26,9 @@
                      void* context) {
   auto* transfer = static_cast<Transfer*>(context);
   const std::string_view line(data, size * count);
+  if (!IsHeadLineValid(line)) {
+    return 0;
+  }
   transfer->is_head_complete = IsHeadComplete(line, transfer->is_head_complete);
   const std::size_t colon = line.find(": ");
   const std::size_t end = line.find_last_not_of("\r\n");
