--- a/packages/proxy/backend_pool_test.cc
+++ b/packages/proxy/backend_pool_test.cc
@@ -368,12 +368,16 @@
   }
   for (const std::string& line : lines) {
     const std::string end = line + "\r\n\r\n";
-    const std::string answers[] = {
-        status + "Content-Length: 3\r\nA: b\r\n" + end + "own",
-        status + line + "\r\nContent-Length: 3\r\n\r\nown",
-        "HTTP/1.1 102 Processing\r\nA: b\r\n" + end + sound,
-        status + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n" + end,
-    };
+    std::string with_length = status + "Content-Length: 3\r\nA: b\r\n";
+    with_length.append(end).append("own");
+    std::string interim = "HTTP/1.1 102 Processing\r\nA: b\r\n";
+    interim.append(end).append(sound);
+    const std::string chunked =
+        status + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n";
+    std::string first_line = status;
+    first_line.append(line).append("\r\nContent-Length: 3\r\n\r\nown");
+    const std::string answers[] = {with_length, first_line, interim,
+                                   chunked + end};
     for (const std::string& answer : answers) {
       CAPTURE(answer);
       // A folded line in a trailer belongs to no field that is passed on.
--- a/packages/proxy/one_shot_timer_test.cc
+++ b/packages/proxy/one_shot_timer_test.cc
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kWait{5};
-constexpr milliseconds kNever{60'000};
 
 // Runs a handler in the turn of the event loop that finds the timer expired,
 // but before the timer's own handler, as input does after a standstill.
