--- a/review/fleet-3/fleet.cc
+++ b/review/fleet-3/fleet.cc
@@ -173,9 +173,14 @@
   out_ << std::setw(7) << Elapsed().count() << " ms  " << text << std::endl;
 }
 
-std::unique_ptr<Socket> Socket::Connect(const std::string& address) {
+std::unique_ptr<Socket> Socket::Connect(const std::string& address,
+                                        int receive_buffer) {
   auto socket = std::make_unique<Socket>(
       ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (receive_buffer > 0) {
+    setsockopt(socket->fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof(receive_buffer));
+  }
   const sockaddr_in target = ParseAddress(address);
   if (connect(socket->fd_, reinterpret_cast<const sockaddr*>(&target),
               sizeof(target)) != 0) {
@@ -441,7 +446,11 @@
       --running_;
       slot_freed_.notify_one();
     }
-    const std::string body = "done by " + id_ + ": " + request_id;
+    std::string body = "done by " + id_ + ": " + request_id;
+    const std::string size = QueryParameter(request.Target(), "bytes");
+    body.resize(std::max(body.size(), static_cast<std::size_t>(std::strtoull(
+                                          size.c_str(), nullptr, 10))),
+                '.');
     std::string headers = echo;
     headers += "X-Response-Signature: " + id_;
     headers += "." + request_id + "\r\nKeep-Alive: timeout=10\r\n";
@@ -633,6 +642,9 @@
 
 void KeptCallers::CallAgainAndAgain(int caller) {
   constexpr milliseconds kDeadline{2000};
+  // So that the callers' requests do not all begin and end together.
+  constexpr milliseconds kStagger{90};
+  std::this_thread::sleep_for(caller * kStagger);
   int count = 0;
   while (!is_over_ && !daemon_.HasEnded()) {
     const auto socket = Socket::Connect(daemon_.caller_address());
--- a/review/fleet-3/fleet.h
+++ b/review/fleet-3/fleet.h
@@ -50,8 +50,10 @@
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
 
-  // Connects to "IP:PORT".
-  static std::unique_ptr<Socket> Connect(const std::string& address);
+  // Connects to "IP:PORT"; `receive_buffer` is the size of the kernel's buffer,
+  // 0 for the usual one.
+  static std::unique_ptr<Socket> Connect(const std::string& address,
+                                         int receive_buffer = 0);
 
   bool is_open() const { return fd_ >= 0; }
   bool Send(const std::string& bytes) const;
@@ -139,7 +141,8 @@
 };
 
 // A stand-in of a backend server. It runs as many requests at once as it has
-// slots, queues a few more, and rejects the others.
+// slots, queues a few more, and rejects the others. An answer has as many bytes
+// as the parameter "bytes" of the target says.
 class Server {
  public:
   Server(const std::string& ip,
